--- /dev/null
+++ b/agent/app/settings.go
@@ -0,0 +1,68 @@
+package app
+
+import (
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/conf"
+	"github.com/berylspar/spar/lease"
+	"github.com/cockroachdb/errors"
+)
+
+// Settings of an agent.
+type Settings struct {
+	common.Settings
+	// Worker is the name of the machine.
+	Worker string `json:"worker" jsonschema:"minLength=1,maxLength=64,description=name of the worker"`
+	// Domain is the failure domain of the machine.
+	Domain string `json:"domain" jsonschema:"minLength=1,maxLength=64,description=failure domain of the worker"`
+	// Rack is the rack of the machine.
+	Rack string `json:"rack" jsonschema:"maxLength=64,description=rack of the worker"`
+	// Service is the service that the backend serves.
+	Service string `json:"service" jsonschema:"maxLength=64,description=service of the backend server"`
+	// Listen is where entries send requests.
+	Listen string `json:"listen" jsonschema:"minLength=1,description=address that entries send requests to"`
+	// Control is where entries send commands.
+	Control string `json:"control" jsonschema:"minLength=1,description=address that entries send commands to"`
+	// Platform is the base address of the worker API.
+	Platform string `json:"platform" jsonschema:"minLength=1,description=base address of the worker API"`
+	// Backend is the address of the backend server.
+	Backend string `json:"backend" jsonschema:"description=address of the backend server"`
+	// Entries are control addresses of entries to begin with.
+	Entries []string `json:"entries" jsonschema:"description=control addresses of some entries"`
+	// Size is what batch work may use.
+	Size spar.Size `json:"size" jsonschema:"description=what batch tasks may use of the worker"`
+	// Slots is how many requests the backend serves at once.
+	Slots int `json:"slots" jsonschema:"minimum=1,maximum=10000,description=requests that the backend serves at once"`
+	// Connections bounds the connections to the backend.
+	Connections int `json:"connections" jsonschema:"minimum=1,maximum=65535,description=most connections to the backend"`
+	// Queue bounds the requests that wait for a slot.
+	Queue int `json:"queue" jsonschema:"minimum=0,maximum=100000,description=most requests that wait for a slot"`
+	// RenewMS is the time between renewals.
+	RenewMS int64 `json:"renew_ms" jsonschema:"minimum=50,maximum=10000,description=time between two renewals of the lease in ms"`
+	// Control of colocated work.
+	Throttle bool `json:"throttle" jsonschema:"description=throttle and evict batch tasks that hurt the service"`
+	// Terms are the times of leases.
+	Terms lease.Terms `json:"terms" jsonschema:"description=times of leases; the same in all daemons"`
+}
+
+// DefaultSettings suit a worker of 16 processors.
+func DefaultSettings() Settings {
+	return Settings{
+		Settings: common.DefaultSettings(), Worker: "worker-1", Domain: "domain-1",
+		Listen: "127.0.0.1:8100", Control: "127.0.0.1:9100", Platform: "http://127.0.0.1:7000",
+		Backend: "127.0.0.1:8200", Entries: []string{"127.0.0.1:9000"},
+		Size: spar.Size{CPUMilli: 12000, MemoryMB: 49152}, Slots: 8, Connections: 64, Queue: 64,
+		RenewMS: 500, Throttle: true, Terms: lease.DefaultTerms(),
+	}
+}
+
+// check tells what is wrong between the settings.
+func check(s Settings) error {
+	if s.RenewMS*3 > s.Terms.LeaseMS {
+		return errors.Mark(errors.Newf("renew_ms: %d is more than a third of terms.lease_ms, which is %d", s.RenewMS, s.Terms.LeaseMS), conf.ErrBad)
+	}
+	if s.RenewMS*2 > s.Terms.StartMS {
+		return errors.Mark(errors.Newf("renew_ms: %d is more than half of terms.start_ms, which is %d", s.RenewMS, s.Terms.StartMS), conf.ErrBad)
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/tasks/report.go
@@ -0,0 +1,52 @@
+package tasks
+
+import (
+	"context"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/wire"
+)
+
+// Reports returns what waits to be folded: ends and evictions of attempts.
+func (r *Runner) Reports() *wire.ReportRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := &wire.ReportRequest{Session: r.place.Session}
+	for _, t := range r.tasks {
+		if t.end != nil {
+			q.Ends = append(q.Ends, t.end)
+		}
+		if t.evict != nil {
+			q.Evicts = append(q.Evicts, t.evict)
+		}
+	}
+	return q
+}
+
+// Reported drops the attempts whose records were read back, here and at the
+// platform.
+func (r *Runner) Reported(ctx context.Context, q *wire.ReportRequest, a *wire.ReportAnswer) {
+	refs := make([]*wire.TaskRef, 0, len(q.GetEnds())+len(q.GetEvicts()))
+	for _, e := range q.GetEnds() {
+		refs = append(refs, e.GetTask())
+	}
+	for _, e := range q.GetEvicts() {
+		refs = append(refs, e.GetTask())
+	}
+	for i, folded := range a.GetFolded() {
+		if folded && i < len(refs) {
+			r.clear(ctx, refs[i].ID())
+		}
+	}
+}
+
+func (r *Runner) clear(ctx context.Context, id spar.TaskID) {
+	r.mu.Lock()
+	if t := r.tasks[id.Task()]; t != nil && t.id == id {
+		delete(r.tasks, id.Task())
+	}
+	r.mu.Unlock()
+	if err := r.platform.Clear(ctx, id); err != nil {
+		r.Warn("ended task not cleared", "task", id, "err", err)
+	}
+}
--- /dev/null
+++ b/agent/tasks/runner.go
@@ -0,0 +1,255 @@
+// Package tasks runs batch tasks on one worker: reservations in the ledger,
+// starts through the worker API under the agent's lease, evictions, and the
+// reports of how attempts ended. It plans nothing.
+package tasks
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/lease"
+	"github.com/berylspar/spar/ledger"
+	"github.com/berylspar/spar/wire"
+)
+
+// Times of the runner.
+const (
+	watchEvery  = 100 * time.Millisecond
+	reserveTime = 10 * time.Second
+	callLimit   = 2 * time.Second
+)
+
+// Place is where the agent runs.
+type Place struct {
+	Worker  string
+	Domain  string
+	Session string
+}
+
+// Runner runs the tasks of one session.
+type Runner struct {
+	common.Common
+	place    Place
+	terms    lease.Terms
+	platform spar.Platform
+	ledger   *ledger.Ledger
+	lease    *lease.Holder
+	clock    platformClock
+	config   atomic.Pointer[Config]
+	leaving  atomic.Bool
+	ready    atomic.Bool
+
+	mu    sync.Mutex
+	tasks map[string]*local
+	// newest is the highest attempt of each task that this session ran or
+	// refused for good; none at or below it will start.
+	newest map[string]uint32
+	avoid  func(kind string) bool
+}
+
+// Config is a configuration with its revision.
+type Config struct {
+	deploy.Configuration
+	Revision int64
+}
+
+// NewRunner returns a runner that accepts nothing before it is ready.
+func NewRunner(c common.Common, p Place, t lease.Terms, platform spar.Platform, l *ledger.Ledger, h *lease.Holder) *Runner {
+	r := &Runner{
+		Common: c, place: p, terms: t, platform: platform, ledger: l, lease: h,
+		tasks: map[string]*local{}, newest: map[string]uint32{}, avoid: func(string) bool { return false },
+	}
+	r.clock.terms = t
+	r.config.Store(&Config{})
+	return r
+}
+
+// Session is the session of the agent.
+func (r *Runner) Session() string { return r.place.Session }
+
+// SetAvoid sets the function that tells which kinds hurt the service. It must
+// be called before Run.
+func (r *Runner) SetAvoid(f func(kind string) bool) { r.avoid = f }
+
+// Config returns the newest configuration known.
+func (r *Runner) Config() *Config { return r.config.Load() }
+
+// Learn takes in a configuration; a lower revision than the known is dropped.
+func (r *Runner) Learn(ctx context.Context, c *Config) {
+	for {
+		old := r.config.Load()
+		if c.Revision <= old.Revision {
+			return
+		}
+		if r.config.CompareAndSwap(old, c) {
+			break
+		}
+	}
+	r.Info("configuration in force", "revision", c.Revision)
+	if !c.IsOpen(r.place.Domain) {
+		r.EvictAll(ctx, spar.ReasonDomainClosed)
+	}
+}
+
+// Leave stops all starts for good.
+func (r *Runner) Leave() { r.leaving.Store(true) }
+
+// Running returns the attempts that run here or wait to be reported.
+func (r *Runner) Running() []*wire.TaskRef {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*wire.TaskRef, 0, len(r.tasks))
+	for _, t := range r.tasks {
+		out = append(out, wire.RefOf(t.id))
+	}
+	return out
+}
+
+// gate tells why nothing may start now.
+func (r *Runner) gate(now time.Time, domains []string) spar.Reason {
+	c := r.config.Load()
+	switch {
+	case !r.ready.Load():
+		return spar.ReasonNotReady
+	case r.leaving.Load():
+		return spar.ReasonLeaving
+	case r.lease.Left(now) <= 0:
+		return spar.ReasonNoLease
+	case now.Sub(r.lease.Known()) >= r.terms.Start():
+		return spar.ReasonStaleConfig
+	case !c.IsOpen(r.place.Domain):
+		return spar.ReasonDomainClosed
+	case !deploy.Allows(domains, r.place.Domain):
+		return spar.ReasonDomainExcluded
+	}
+	return spar.ReasonNone
+}
+
+// Reserve holds room for a task for a while, and makes it where the task is
+// urgent and evicting others would do.
+func (r *Runner) Reserve(ctx context.Context, q *wire.ReserveRequest) *wire.ReserveAnswer {
+	reason := r.reserve(ctx, q)
+	r.Add(q.GetTask().ID().Task(), "reserve", reason, r.place.Worker)
+	return &wire.ReserveAnswer{Reserved: reason == spar.ReasonNone, Reason: string(reason)}
+}
+
+func (r *Runner) reserve(ctx context.Context, q *wire.ReserveRequest) spar.Reason {
+	if q.GetSession() != r.place.Session {
+		return spar.ReasonWrongSession
+	}
+	now := time.Now()
+	if reason := r.gate(now, nil); reason != spar.ReasonNone {
+		return reason
+	}
+	if r.avoid(q.GetKind()) {
+		return spar.ReasonHurtsService
+	}
+	id, size := q.GetTask().ID(), q.GetSize().Spar()
+	if !size.Fits(r.ledger.Total()) {
+		return spar.ReasonTooLarge
+	}
+	if r.ledger.Reserve(id, size, now, now.Add(reserveTime)) {
+		return spar.ReasonNone
+	}
+	if q.GetUrgent() && r.makeRoom(ctx, size) && r.ledger.Reserve(id, size, now, now.Add(reserveTime)) {
+		return spar.ReasonNone
+	}
+	return spar.ReasonNoRoom
+}
+
+// Run starts an attempt that was claimed for this session. It is idempotent: a
+// refusal is for good, so the claim can be closed as never started.
+func (r *Runner) Run(ctx context.Context, q *wire.RunRequest) *wire.RunAnswer {
+	id := q.GetTask().ID()
+	if q.GetSession() != r.place.Session {
+		return &wire.RunAnswer{Reason: string(spar.ReasonWrongSession)}
+	}
+	t, reason := r.enter(id, q)
+	if reason != spar.ReasonNone {
+		r.Add(id.Task(), "run refused", reason, r.place.Worker)
+		return &wire.RunAnswer{Refused: true, Reason: string(reason)}
+	}
+	if t == nil {
+		return &wire.RunAnswer{Running: true}
+	}
+	return r.start(ctx, t, q)
+}
+
+// enter decides on an attempt once and for all. It returns nil and no reason
+// when the attempt is here already.
+func (r *Runner) enter(id spar.TaskID, q *wire.RunRequest) (*local, spar.Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := id.Task()
+	if t := r.tasks[key]; t != nil && t.id == id {
+		return nil, spar.ReasonNone
+	}
+	if id.Attempt <= r.newest[key] {
+		return nil, spar.ReasonNeverStarted
+	}
+	// From here on the attempt either starts or never will.
+	r.newest[key] = id.Attempt
+	now := time.Now()
+	if reason := r.gate(now, q.GetSpec().GetDomains()); reason != spar.ReasonNone {
+		r.ledger.Release(id)
+		return nil, reason
+	}
+	size := q.GetSpec().GetSize().Spar()
+	if !r.ledger.Reserve(id, size, now, now.Add(reserveTime)) || !r.ledger.Commit(id, now) {
+		return nil, spar.ReasonNoRoom
+	}
+	t := &local{id: id, spec: q.GetSpec(), repeatable: q.GetSpec().GetRepeatable(), cpu: size.CPUMilli, startedAt: now.UnixMilli()}
+	r.tasks[key] = t
+	return t, spar.ReasonNone
+}
+
+// start asks the platform. The deadlines are on the platform's clock, so a
+// call that is held up can't start a task after the lease or after a domain
+// was closed.
+func (r *Runner) start(ctx context.Context, t *local, q *wire.RunRequest) *wire.RunAnswer {
+	until, known := r.clock.at(r.lease.Deadline())
+	startBy, _ := r.clock.at(r.lease.Known().Add(r.terms.Start()))
+	if !known {
+		r.never(t, spar.ReasonNotReady)
+		return &wire.RunAnswer{Refused: true, Reason: string(spar.ReasonNotReady)}
+	}
+	status, err := r.platform.Start(ctx, spar.Start{
+		ID: t.id, Kind: t.spec.GetKind(), Size: t.spec.GetSize().Spar(),
+		Run:        time.Duration(t.spec.GetRunMs()) * time.Millisecond,
+		Checkpoint: q.GetCheckpoint(), Until: until, StartBy: startBy,
+	})
+	if err != nil {
+		// The start may have taken effect: the next listing tells, and the
+		// task stays committed until then.
+		r.Warn("start not answered", "task", t.id, "err", err)
+		return &wire.RunAnswer{Running: true}
+	}
+	if status.State == spar.TaskRefused {
+		r.never(t, spar.ReasonPlatformRefused)
+		return &wire.RunAnswer{Refused: true, Reason: string(spar.ReasonPlatformRefused)}
+	}
+	r.Add(t.id.Task(), "started", spar.ReasonNone, r.place.Worker)
+	r.mu.Lock()
+	if t.stage == starting {
+		t.stage = running
+		t.status = status
+	}
+	r.mu.Unlock()
+	return &wire.RunAnswer{Running: true}
+}
+
+// never drops a task that did not start.
+func (r *Runner) never(t *local, reason spar.Reason) {
+	r.Add(t.id.Task(), "run refused", reason, r.place.Worker)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tasks[t.id.Task()] == t {
+		delete(r.tasks, t.id.Task())
+	}
+	r.ledger.Release(t.id)
+}
--- /dev/null
+++ b/agent/tasks/victim.go
@@ -0,0 +1,36 @@
+package tasks
+
+import (
+	"slices"
+	"time"
+
+	"github.com/berylspar/spar"
+)
+
+// victims returns the tasks to evict for a size, those that lose the least
+// progress first, or nil when evicting all would not free enough.
+func (r *Runner) victims(size spar.Size) []*local {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []*local
+	for _, t := range r.tasks {
+		if t.stage == running && !t.spec.GetUrgent() && t.evictFor == spar.ReasonNone {
+			all = append(all, t)
+		}
+	}
+	slices.SortFunc(all, func(a, b *local) int { return int((a.unsaved() - b.unsaved()) / time.Millisecond) })
+	free := r.ledger.Free(time.Now())
+	for i, t := range all {
+		if size.Fits(free) {
+			return all[:i]
+		}
+		free = free.Add(t.spec.GetSize().Spar())
+	}
+	if size.Fits(free) {
+		return all
+	}
+	return nil
+}
+
+// unsaved is the progress that is in no checkpoint.
+func (t *local) unsaved() time.Duration { return t.status.Progress - t.status.Saved }
--- /dev/null
+++ b/agent/tasks/watch.go
@@ -0,0 +1,228 @@
+package tasks
+
+import (
+	"context"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/wire"
+)
+
+// evictShare is the share of the lease that must be left for a checkpoint.
+const evictShare = 4
+
+// Rebuild stops what an earlier session of this worker left running, and
+// reports how those attempts ended. Nothing is accepted before it succeeds.
+func (r *Runner) Rebuild(ctx context.Context) error {
+	l, err := r.list(ctx)
+	if err != nil {
+		return err
+	}
+	for _, s := range l.Tasks {
+		if s.State == spar.TaskRunning {
+			if s, err = r.platform.Stop(ctx, s.ID, true); err != nil {
+				return err
+			}
+		}
+		r.adopt(s)
+	}
+	r.ready.Store(true)
+	return nil
+}
+
+// adopt takes over the report of an attempt of an earlier session.
+func (r *Runner) adopt(s spar.TaskStatus) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := &local{id: s.ID, stage: running, evictFor: spar.ReasonRestart, repeatable: true}
+	r.tasks[s.ID.Task()] = t
+	r.newest[s.ID.Task()] = s.ID.Attempt
+	r.settle(t, s)
+}
+
+// Run watches the platform's tasks and renews their leases until the context
+// ends.
+func (r *Runner) Watch(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		tick := time.NewTicker(watchEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				done <- nil
+				return
+			case <-tick.C:
+				r.watch(ctx)
+			}
+		}
+	}()
+	return done
+}
+
+func (r *Runner) watch(ctx context.Context) {
+	if !r.ready.Load() {
+		if err := r.Rebuild(ctx); err != nil {
+			r.Warn("worker API not available", "err", err)
+		}
+		return
+	}
+	l, err := r.list(ctx)
+	if err != nil {
+		r.Warn("worker API not available", "err", err)
+		return
+	}
+	r.reconcile(l)
+	if left := r.lease.Left(time.Now()); left < r.terms.Lease()/evictShare {
+		r.EvictAll(ctx, spar.ReasonNoLease)
+	}
+	r.stopMarked(ctx)
+	r.renewLeases(ctx)
+}
+
+func (r *Runner) list(ctx context.Context) (spar.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	l, err := r.platform.List(ctx)
+	if err == nil {
+		r.clock.read(l.Now, time.Now())
+	}
+	return l, err
+}
+
+// reconcile takes in what the platform tells of its tasks.
+func (r *Runner) reconcile(l spar.Listing) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range l.Tasks {
+		t := r.tasks[s.ID.Task()]
+		if t == nil || t.id != s.ID || t.stage == ended {
+			continue
+		}
+		t.stage = running
+		r.settle(t, s)
+	}
+}
+
+// settle turns a state of the platform into a report. r.mu is held.
+func (r *Runner) settle(t *local, s spar.TaskStatus) {
+	t.status = s
+	if s.State == spar.TaskRunning {
+		return
+	}
+	t.stage = ended
+	r.ledger.Release(t.id)
+	ref := wire.RefOf(t.id)
+	switch {
+	case s.State == spar.TaskDone:
+		t.end = &wire.End{Task: ref, Ok: true}
+	case s.State == spar.TaskFailed:
+		t.end = &wire.End{Task: ref, Reason: s.Reason}
+	case s.Checkpoint == "" && !t.repeatable && s.Progress > 0:
+		t.end = &wire.End{Task: ref, Reason: string(spar.ReasonOutcomeUnknown)}
+	default:
+		t.evict = &wire.Evict{Task: ref, Checkpoint: s.Checkpoint, ProgressMs: s.Saved.Milliseconds(), Reason: string(t.why(s))}
+	}
+	r.Add(t.id.Task(), "ended as "+string(s.State), t.evictFor, r.place.Worker)
+}
+
+func (t *local) why(s spar.TaskStatus) spar.Reason {
+	if t.evictFor != spar.ReasonNone {
+		return t.evictFor
+	}
+	if s.State == spar.TaskLapsed {
+		return spar.ReasonNoLease
+	}
+	return spar.ReasonNeverStarted
+}
+
+// EvictAll checkpoints and stops all tasks.
+func (r *Runner) EvictAll(ctx context.Context, reason spar.Reason) {
+	r.mark(reason, func(*local) bool { return true })
+	r.stopMarked(ctx)
+}
+
+// EvictJobs checkpoints and stops the tasks of some jobs.
+func (r *Runner) EvictJobs(jobs []string, reason spar.Reason) {
+	for _, j := range jobs {
+		r.mark(reason, func(t *local) bool { return t.id.Job == j })
+	}
+}
+
+// mark sets tasks to be stopped by the next pass.
+func (r *Runner) mark(reason spar.Reason, which func(*local) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.tasks {
+		if t.stage != ended && t.evictFor == spar.ReasonNone && which(t) {
+			t.evictFor = reason
+		}
+	}
+}
+
+// stopMarked stops what is marked. A stop that is not answered is repeated by
+// the next pass.
+func (r *Runner) stopMarked(ctx context.Context) {
+	r.mu.Lock()
+	var marked []*local
+	for _, t := range r.tasks {
+		if t.stage != ended && t.evictFor != spar.ReasonNone {
+			marked = append(marked, t)
+		}
+	}
+	r.mu.Unlock()
+	for _, t := range marked {
+		r.stop(ctx, t)
+	}
+}
+
+func (r *Runner) stop(ctx context.Context, t *local) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	s, err := r.platform.Stop(ctx, t.id, true)
+	if err != nil {
+		r.Warn("stop not answered", "task", t.id, "err", err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.stage == ended || s.State == spar.TaskRefused {
+		return
+	}
+	r.settle(t, s)
+}
+
+// renewLeases extends the tasks' leases to the end of the agent's own.
+func (r *Runner) renewLeases(ctx context.Context) {
+	until, known := r.clock.at(r.lease.Deadline())
+	if !known || r.lease.Left(time.Now()) <= 0 {
+		return
+	}
+	var ids []spar.TaskID
+	r.mu.Lock()
+	for _, t := range r.tasks {
+		if t.stage != ended {
+			ids = append(ids, t.id)
+		}
+	}
+	r.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if err := r.platform.Renew(ctx, until, ids); err != nil {
+		r.Warn("leases of tasks not renewed", "err", err)
+	}
+}
+
+// makeRoom evicts tasks that are not urgent, the least progress lost first,
+// until a size is free. It evicts nothing where that would not do.
+func (r *Runner) makeRoom(ctx context.Context, size spar.Size) bool {
+	victims := r.victims(size)
+	for _, t := range victims {
+		r.mark(spar.ReasonPreempted, func(o *local) bool { return o == t })
+	}
+	r.stopMarked(ctx)
+	return len(victims) > 0
+}
--- /dev/null
+++ b/common/serve.go
@@ -0,0 +1,93 @@
+package common
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fasthttp/router"
+	"github.com/uber-go/tally/v4/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+// Limits of what is served over HTTP.
+const (
+	maxHeader    = 16 << 10
+	maxAdminBody = 1 << 20
+	readLimit    = 10 * time.Second
+	idleLimit    = 60 * time.Second
+	drainLimit   = 10 * time.Second
+)
+
+// Endpoints adds /metrics, /healthz and /readyz to a router.
+func Endpoints(r *router.Router, h *Health, p prometheus.Reporter) {
+	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(p.HTTPHandler()))
+	r.GET("/healthz", func(c *fasthttp.RequestCtx) { c.SetBodyString("alive\n") })
+	r.GET("/readyz", func(c *fasthttp.RequestCtx) {
+		if !h.IsReady() {
+			c.Error("not ready\n", fasthttp.StatusServiceUnavailable)
+			return
+		}
+		c.SetBodyString("ready\n")
+	})
+}
+
+// ServeFast serves a handler on a listener until the context ends, then
+// finishes the requests in progress. maxBody bounds a request's body.
+func ServeFast(ctx context.Context, l net.Listener, handler fasthttp.RequestHandler, maxBody int) <-chan error {
+	s := &fasthttp.Server{
+		Handler: handler, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody,
+		ReadTimeout: readLimit, IdleTimeout: idleLimit, NoDefaultServerHeader: true,
+		CloseOnShutdown: true, Logger: quiet{},
+	}
+	done := make(chan error, 1)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	go func() {
+		select {
+		case err := <-served:
+			done <- errors.Wrapf(err, "serve %s", l.Addr())
+			return
+		case <-ctx.Done():
+		}
+		drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
+		defer cancel()
+		done <- s.ShutdownWithContext(drain)
+	}()
+	return done
+}
+
+// ServeRPC serves connect handlers on a listener, over HTTP/1 and cleartext
+// HTTP/2, until the context ends.
+func ServeRPC(ctx context.Context, l net.Listener, handler http.Handler) <-chan error {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: readLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeader}
+	done := make(chan error, 1)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	go func() {
+		select {
+		case err := <-served:
+			done <- errors.Wrapf(err, "serve %s", l.Addr())
+			return
+		case <-ctx.Done():
+		}
+		drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
+		defer cancel()
+		done <- s.Shutdown(drain)
+	}()
+	return done
+}
+
+// MaxAdminBody bounds the body of an operator's request, in bytes.
+const MaxAdminBody = maxAdminBody
+
+// quiet drops the HTTP server's lines about clients that went away.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/fold/apply.go
@@ -0,0 +1,196 @@
+package fold
+
+import (
+	"bytes"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/wire"
+	"github.com/cockroachdb/errors"
+)
+
+// Limits of one record. A record beyond them is void for every reader.
+const (
+	// MaxTasks is the largest number of tasks in a job.
+	MaxTasks = 1000
+	// MaxName is the longest name or key, in bytes.
+	MaxName = 128
+	// MaxCrashes is how often a task may crash before it is set aside.
+	MaxCrashes = 3
+)
+
+// Apply folds the records of the entry at an offset, which must be Next. It
+// returns an outcome for each record, in order.
+func (s *State) Apply(offset int64, records []*wire.Record) []Outcome {
+	if offset < s.next {
+		panic(errors.AssertionFailedf("offset %d applied after %d", offset, s.next))
+	}
+	out := make([]Outcome, 0, len(records))
+	for _, r := range records {
+		o := s.one(offset, r)
+		if !o.IsValid() {
+			s.voids++
+		}
+		out = append(out, o)
+	}
+	s.next = offset + 1
+	return out
+}
+
+func (s *State) one(offset int64, r *wire.Record) Outcome {
+	if c := r.GetCarry(); c != nil {
+		return s.carry(offset, r.GetBy(), c)
+	}
+	fact := FactOf(r)
+	if fact == "" {
+		return void(spar.ReasonInvalid)
+	}
+	known := s.has(fact)
+	o := s.body(offset, r)
+	m := s.marks[fact]
+	if m == nil {
+		m = &mark{}
+		s.marks[fact] = m
+	}
+	m.mentioned = offset
+	if o.IsValid() && (!known || fact == ConfigFact) {
+		m.kept = offset
+	}
+	return o
+}
+
+// FactOf returns the key of the fact that a record names, or "" when it can't
+// be read.
+func FactOf(r *wire.Record) string {
+	fact := ""
+	switch b := r.GetBody().(type) {
+	case *wire.Record_Submit:
+		fact = JobFact(b.Submit.GetJob())
+	case *wire.Record_Claim:
+		fact = JobFact(b.Claim.GetTask().GetJob())
+	case *wire.Record_End:
+		fact = JobFact(b.End.GetTask().GetJob())
+	case *wire.Record_Evict:
+		fact = JobFact(b.Evict.GetTask().GetJob())
+	case *wire.Record_Cancel:
+		fact = JobFact(b.Cancel.GetJob())
+	case *wire.Record_Fence:
+		fact = FenceFact(b.Fence.GetSession())
+	case *wire.Record_Lapse:
+		fact = FenceFact(b.Lapse.GetSession())
+	case *wire.Record_Register:
+		fact = MemberFact(b.Register.GetEntry())
+	case *wire.Record_Depart:
+		fact = MemberFact(b.Depart.GetEntry())
+	case *wire.Record_Expel:
+		fact = MemberFact(b.Expel.GetEntry())
+	case *wire.Record_Configure:
+		return ConfigFact
+	case *wire.Record_Once:
+		fact = OnceFact(b.Once.GetKey())
+	case *wire.Record_Settle:
+		fact = OnceFact(b.Settle.GetKey())
+	case *wire.Record_Forget:
+		fact = b.Forget.GetFact()
+	}
+	if len(fact) < 3 || len(fact) > MaxName+2 {
+		return ""
+	}
+	return fact
+}
+
+func (s *State) body(offset int64, r *wire.Record) Outcome {
+	if m := s.members[r.GetBy()]; m != nil && m.expelled {
+		return void(spar.ReasonMemberFenced)
+	}
+	switch b := r.GetBody().(type) {
+	case *wire.Record_Submit:
+		return s.submit(r.GetId(), b.Submit)
+	case *wire.Record_Claim:
+		return s.claim(b.Claim)
+	case *wire.Record_End:
+		return s.end(b.End)
+	case *wire.Record_Evict:
+		return s.evict(b.Evict)
+	case *wire.Record_Cancel:
+		return s.cancel(b.Cancel)
+	case *wire.Record_Fence:
+		return s.fence(b.Fence)
+	case *wire.Record_Lapse:
+		return s.lapse(b.Lapse)
+	case *wire.Record_Register:
+		return s.register(offset, b.Register)
+	case *wire.Record_Depart:
+		return s.depart(b.Depart)
+	case *wire.Record_Expel:
+		return s.expel(b.Expel)
+	case *wire.Record_Configure:
+		return s.configure(r.GetId(), b.Configure)
+	case *wire.Record_Once:
+		return s.once(r.GetId(), b.Once)
+	case *wire.Record_Settle:
+		return s.settle(b.Settle)
+	case *wire.Record_Forget:
+		return s.forget(b.Forget)
+	}
+	return void(spar.ReasonInvalid)
+}
+
+func (s *State) configure(id []byte, c *wire.Configure) Outcome {
+	if bytes.Equal(id, s.config.id) && len(id) > 0 {
+		return void(spar.ReasonDuplicate)
+	}
+	if c.GetBase() != s.config.revision {
+		return void(spar.ReasonStaleBase)
+	}
+	if s.check != nil && s.check(c.GetBody()) != nil {
+		return void(spar.ReasonInvalid)
+	}
+	s.config = Config{revision: c.GetBase() + 1, body: c.GetBody(), author: c.GetAuthor(), id: id}
+	return valid()
+}
+
+func (s *State) once(id []byte, o *wire.Once) Outcome {
+	if s.onces[o.GetKey()] != nil {
+		return void(spar.ReasonKeyTaken)
+	}
+	s.onces[o.GetKey()] = &Once{key: o.GetKey(), id: id}
+	return valid()
+}
+
+func (s *State) settle(c *wire.Settle) Outcome {
+	o := s.onces[c.GetKey()]
+	if o == nil {
+		return void(spar.ReasonUnknownFact)
+	}
+	if o.settled {
+		return void(spar.ReasonDuplicate)
+	}
+	if c.GetNotRun() {
+		delete(s.onces, c.GetKey())
+		return valid()
+	}
+	o.settled = true
+	o.status = c.GetStatus()
+	o.body = c.GetBody()
+	o.truncated = c.GetTruncated()
+	return valid()
+}
+
+// forget drops a fact that no longer matters. A live job is never dropped.
+func (s *State) forget(f *wire.Forget) Outcome {
+	fact := f.GetFact()
+	if fact == ConfigFact || !s.has(fact) {
+		return void(spar.ReasonUnknownFact)
+	}
+	if j := s.jobs[fact[2:]]; fact[0] == 'j' && !j.IsEnded() {
+		return void(spar.ReasonWrongPhase)
+	}
+	if fact[0] == 'f' && !s.fences[fact[2:]].lapsed {
+		return void(spar.ReasonWrongPhase)
+	}
+	if fact[0] == 'm' && s.members[fact[2:]].IsLive() {
+		return void(spar.ReasonWrongPhase)
+	}
+	s.drop(fact)
+	return valid()
+}
--- /dev/null
+++ b/fold/facts.go
@@ -0,0 +1,105 @@
+package fold
+
+import "github.com/berylspar/spar/wire"
+
+// Fence is the agreed end of an agent's session.
+type Fence struct {
+	session string
+	worker  string
+	reason  string
+	lapsed  bool
+}
+
+// Session is the session that was given up.
+func (f Fence) Session() string { return f.session }
+
+// Worker is the worker of the session.
+func (f Fence) Worker() string { return f.worker }
+
+// IsLapsed tells whether the fence's waiting time has passed.
+func (f Fence) IsLapsed() bool { return f.lapsed }
+
+// Member is an entry that registered on the log.
+type Member struct {
+	entry      string
+	address    string
+	departed   bool
+	expelled   bool
+	registered int64
+}
+
+// Entry is the session of the entry.
+func (m Member) Entry() string { return m.entry }
+
+// Address is the control address of the entry, host and port.
+func (m Member) Address() string { return m.address }
+
+// IsLive tells whether the entry has neither departed nor been expelled.
+func (m Member) IsLive() bool { return !m.departed && !m.expelled }
+
+// IsExpelled tells whether the entry's fence was folded.
+func (m Member) IsExpelled() bool { return m.expelled }
+
+// Registered is the offset of the registration.
+func (m Member) Registered() int64 { return m.registered }
+
+// Once is a request that may run at most once.
+type Once struct {
+	key       string
+	id        []byte
+	settled   bool
+	status    int32
+	body      []byte
+	truncated bool
+}
+
+// ID is the id of the record that holds the key.
+func (o Once) ID() []byte { return o.id }
+
+// IsSettled tells whether the outcome is known.
+func (o Once) IsSettled() bool { return o.settled }
+
+// Status is the HTTP status of the outcome.
+func (o Once) Status() int { return int(o.status) }
+
+// Body is the answer, empty when IsTruncated.
+func (o Once) Body() []byte { return o.body }
+
+// IsTruncated tells whether the answer was too long to be kept.
+func (o Once) IsTruncated() bool { return o.truncated }
+
+// Config is the agreed configuration. The zero value is revision 0, empty.
+type Config struct {
+	revision int64
+	body     []byte
+	author   string
+	id       []byte
+}
+
+// Revision counts the accepted configurations.
+func (c Config) Revision() int64 { return c.revision }
+
+// Body is the configuration as JSON.
+func (c Config) Body() []byte { return c.body }
+
+// Author names who published it.
+func (c Config) Author() string { return c.author }
+
+// ID is the id of the record that set it.
+func (c Config) ID() []byte { return c.id }
+
+func (f Fence) fact() *wire.FenceFact {
+	return &wire.FenceFact{Session: f.session, Worker: f.worker, Reason: f.reason, Lapsed: f.lapsed}
+}
+
+func (m Member) fact() *wire.MemberFact {
+	return &wire.MemberFact{Entry: m.entry, Address: m.address, Departed: m.departed, Expelled: m.expelled, Registered: m.registered}
+}
+
+func (o Once) fact() *wire.OnceFact {
+	return &wire.OnceFact{Key: o.key, Id: o.id, Settled: o.settled, Status: o.status, Body: o.body, Truncated: o.truncated}
+}
+
+func (c Config) fact() *wire.ConfigFact {
+	return &wire.ConfigFact{Revision: c.revision, Body: c.body, Author: c.author, Id: c.id}
+}
--- /dev/null
+++ b/fold/index.go
@@ -0,0 +1,118 @@
+package fold
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/wire"
+)
+
+// index answers the questions that planners ask often, without a walk over
+// all jobs. It follows from the jobs and is no fact of its own.
+type index struct {
+	// waiting holds the jobs with a waiting task.
+	waiting map[string]*Job
+	// running holds the running tasks of each agent session.
+	running map[string]map[spar.TaskID]struct{}
+	// usage is what the running tasks of each team were declared to need.
+	usage map[string]spar.Size
+}
+
+func newIndex() index {
+	return index{waiting: map[string]*Job{}, running: map[string]map[spar.TaskID]struct{}{}, usage: map[string]spar.Size{}}
+}
+
+// add indexes a whole job.
+func (x *index) add(j *Job) {
+	j.counts = [phases]int{}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		j.counts[t.phase]++
+		if t.phase == wire.Phase_PHASE_RUNNING {
+			x.enter(j, uint32(i))
+		}
+	}
+	x.touch(j)
+}
+
+func (x *index) remove(j *Job) {
+	for i := range j.tasks {
+		if j.tasks[i].phase == wire.Phase_PHASE_RUNNING {
+			x.leave(j, uint32(i))
+		}
+	}
+	delete(x.waiting, j.spec.GetJob())
+}
+
+// move changes a task's phase. The task's attempt and session must be those of
+// the attempt that is entered or left.
+func (x *index) move(j *Job, i uint32, p wire.Phase) {
+	t := &j.tasks[i]
+	if t.phase == p {
+		return
+	}
+	if t.phase == wire.Phase_PHASE_RUNNING {
+		x.leave(j, i)
+	}
+	j.counts[t.phase]--
+	t.phase = p
+	j.counts[p]++
+	if p == wire.Phase_PHASE_RUNNING {
+		x.enter(j, i)
+	}
+	x.touch(j)
+}
+
+func (x *index) touch(j *Job) {
+	if j.counts[wire.Phase_PHASE_WAITING] > 0 {
+		x.waiting[j.spec.GetJob()] = j
+		return
+	}
+	delete(x.waiting, j.spec.GetJob())
+}
+
+func (x *index) enter(j *Job, i uint32) {
+	t := &j.tasks[i]
+	m := x.running[t.session]
+	if m == nil {
+		m = map[spar.TaskID]struct{}{}
+		x.running[t.session] = m
+	}
+	m[spar.TaskID{Job: j.spec.GetJob(), Index: i, Attempt: t.attempt}] = struct{}{}
+	x.usage[j.spec.GetTeam()] = x.usage[j.spec.GetTeam()].Add(j.spec.GetSize().Spar())
+}
+
+func (x *index) leave(j *Job, i uint32) {
+	t := &j.tasks[i]
+	m := x.running[t.session]
+	delete(m, spar.TaskID{Job: j.spec.GetJob(), Index: i, Attempt: t.attempt})
+	if len(m) == 0 {
+		delete(x.running, t.session)
+	}
+	x.usage[j.spec.GetTeam()] = x.usage[j.spec.GetTeam()].Sub(j.spec.GetSize().Spar())
+}
+
+// EachWaiting calls f for each job with a waiting task, in no order.
+func (s *State) EachWaiting(f func(*Job)) {
+	for _, j := range s.index.waiting {
+		f(j)
+	}
+}
+
+// Running returns the tasks that are claimed for a session.
+func (s *State) Running(session string) []spar.TaskID {
+	return slices.Collect(maps.Keys(s.index.running[session]))
+}
+
+// IsRunning tells whether an attempt is claimed for a session and not closed.
+func (s *State) IsRunning(session string, id spar.TaskID) bool {
+	_, ok := s.index.running[session][id]
+	return ok
+}
+
+// Sessions returns the sessions that tasks are claimed for, in order.
+func (s *State) Sessions() []string { return slices.Sorted(maps.Keys(s.index.running)) }
+
+// Usage is what the running tasks of a team were declared to need.
+func (s *State) Usage(team string) spar.Size { return s.index.usage[team] }
--- /dev/null
+++ b/fold/job.go
@@ -0,0 +1,59 @@
+package fold
+
+import "github.com/berylspar/spar/wire"
+
+// Job is the agreed state of one job.
+type Job struct {
+	id        []byte
+	spec      *wire.Spec
+	tasks     []Task
+	cancelled bool
+	counts    [phases]int
+}
+
+const phases = 6
+
+// Spec is what the team asked for. It must not be changed.
+func (j *Job) Spec() *wire.Spec { return j.spec }
+
+// ID is the id of the record that submitted the job.
+func (j *Job) ID() []byte { return j.id }
+
+// Len is the number of tasks.
+func (j *Job) Len() int { return len(j.tasks) }
+
+// Task returns a copy of the task at index i.
+func (j *Job) Task(i int) Task { return j.tasks[i] }
+
+// IsCancelled tells whether a cancellation was folded.
+func (j *Job) IsCancelled() bool { return j.cancelled }
+
+// IsEnded tells whether no task of the job will run again.
+func (j *Job) IsEnded() bool {
+	return j.counts[wire.Phase_PHASE_WAITING]+j.counts[wire.Phase_PHASE_RUNNING] == 0
+}
+
+// Count returns the number of tasks in a phase.
+func (j *Job) Count(p wire.Phase) int {
+	return j.counts[p]
+}
+
+func newJob(id []byte, s *wire.Spec) *Job {
+	return &Job{id: id, spec: s, tasks: make([]Task, s.GetTasks())}
+}
+
+func (j *Job) fact() *wire.JobFact {
+	f := &wire.JobFact{Spec: j.spec, Cancelled: j.cancelled, Id: j.id}
+	for i := range j.tasks {
+		f.Tasks = append(f.Tasks, j.tasks[i].fact())
+	}
+	return f
+}
+
+func jobOf(f *wire.JobFact) *Job {
+	j := &Job{id: f.GetId(), spec: f.GetSpec(), cancelled: f.GetCancelled()}
+	for _, t := range f.GetTasks() {
+		j.tasks = append(j.tasks, taskOf(t))
+	}
+	return j
+}
--- /dev/null
+++ b/fold/jobs.go
@@ -0,0 +1,169 @@
+package fold
+
+import (
+	"bytes"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/wire"
+)
+
+func (s *State) submit(id []byte, c *wire.Spec) Outcome {
+	if c.GetTasks() == 0 || c.GetTasks() > MaxTasks || c.GetSize() == nil {
+		return void(spar.ReasonInvalid)
+	}
+	if c.GetRunMs() < 0 || c.GetSize().GetCpuMilli() < 0 || c.GetSize().GetMemoryMb() < 0 || c.GetSize().GetAccelerators() < 0 {
+		return void(spar.ReasonInvalid)
+	}
+	if s.jobs[c.GetJob()] != nil {
+		return void(spar.ReasonDuplicate)
+	}
+	j := newJob(bytes.Clone(id), c)
+	s.jobs[c.GetJob()] = j
+	s.index.add(j)
+	return valid()
+}
+
+func (s *State) claim(c *wire.Claim) Outcome {
+	j, t := s.task(c.GetTask())
+	if t == nil {
+		return void(spar.ReasonUnknownTask)
+	}
+	if j.cancelled {
+		return void(spar.ReasonCancelled)
+	}
+	if t.phase != wire.Phase_PHASE_WAITING {
+		return void(spar.ReasonWrongPhase)
+	}
+	if c.GetTask().GetAttempt() != t.attempt+1 {
+		return void(spar.ReasonWrongAttempt)
+	}
+	if s.fences[c.GetSession()] != nil {
+		return void(spar.ReasonFenced)
+	}
+	t.attempt++
+	t.worker = c.GetWorker()
+	t.session = c.GetSession()
+	t.reason = ""
+	s.index.move(j, c.GetTask().GetIndex(), wire.Phase_PHASE_RUNNING)
+	return valid()
+}
+
+// current returns the task when its newest attempt is the one named and has
+// not been closed.
+func (s *State) current(r *wire.TaskRef) (*Job, *Task, Outcome) {
+	j, t := s.task(r)
+	if t == nil {
+		return nil, nil, void(spar.ReasonUnknownTask)
+	}
+	if t.attempt != r.GetAttempt() {
+		return nil, nil, void(spar.ReasonWrongAttempt)
+	}
+	if t.phase != wire.Phase_PHASE_RUNNING {
+		return nil, nil, void(spar.ReasonWrongPhase)
+	}
+	return j, t, valid()
+}
+
+func (s *State) end(e *wire.End) Outcome {
+	j, t, o := s.current(e.GetTask())
+	if !o.IsValid() {
+		return o
+	}
+	i := e.GetTask().GetIndex()
+	t.reason = e.GetReason()
+	if e.GetOk() {
+		s.index.move(j, i, wire.Phase_PHASE_DONE)
+		return valid()
+	}
+	// Crashes in a row on one worker speak of the worker, not of the task.
+	if t.crashedOn != t.worker {
+		t.failures++
+		t.crashedOn = t.worker
+	}
+	switch {
+	case !j.spec.GetRepeatable() && t.checkpoint == "":
+		s.index.move(j, i, wire.Phase_PHASE_UNKNOWN)
+	case t.failures >= MaxCrashes:
+		s.index.move(j, i, wire.Phase_PHASE_SET_ASIDE)
+		t.reason = string(spar.ReasonCrashes)
+	default:
+		s.reopen(j, i)
+	}
+	return valid()
+}
+
+func (s *State) evict(e *wire.Evict) Outcome {
+	j, t, o := s.current(e.GetTask())
+	if !o.IsValid() {
+		return o
+	}
+	t.reason = e.GetReason()
+	if e.GetCheckpoint() != "" {
+		t.checkpoint = e.GetCheckpoint()
+		t.progressMS = e.GetProgressMs()
+	}
+	s.reopen(j, e.GetTask().GetIndex())
+	return valid()
+}
+
+// reopen lets the next attempt start, unless the job is cancelled.
+func (s *State) reopen(j *Job, i uint32) {
+	if j.cancelled {
+		s.index.move(j, i, wire.Phase_PHASE_CANCELLED)
+		return
+	}
+	s.index.move(j, i, wire.Phase_PHASE_WAITING)
+}
+
+func (s *State) cancel(c *wire.Cancel) Outcome {
+	j := s.jobs[c.GetJob()]
+	if j == nil {
+		return void(spar.ReasonUnknownJob)
+	}
+	if j.cancelled {
+		return void(spar.ReasonDuplicate)
+	}
+	j.cancelled = true
+	for i := range j.tasks {
+		if j.tasks[i].phase == wire.Phase_PHASE_WAITING {
+			s.index.move(j, uint32(i), wire.Phase_PHASE_CANCELLED)
+		}
+	}
+	return valid()
+}
+
+func (s *State) fence(f *wire.Fence) Outcome {
+	if s.fences[f.GetSession()] != nil {
+		return void(spar.ReasonDuplicate)
+	}
+	s.fences[f.GetSession()] = &Fence{session: f.GetSession(), worker: f.GetWorker(), reason: f.GetReason()}
+	return valid()
+}
+
+func (s *State) lapse(l *wire.Lapse) Outcome {
+	f := s.fences[l.GetSession()]
+	if f == nil {
+		return void(spar.ReasonNotFenced)
+	}
+	if f.lapsed {
+		return void(spar.ReasonDuplicate)
+	}
+	f.lapsed = true
+	for _, id := range s.Running(l.GetSession()) {
+		s.lapseTask(s.jobs[id.Job], id.Index)
+	}
+	return valid()
+}
+
+// lapseTask closes an attempt on a lapsed session. What may not run twice, and
+// has no checkpoint to resume from, has an outcome that nobody can prove.
+func (s *State) lapseTask(j *Job, i uint32) {
+	t := &j.tasks[i]
+	if !j.spec.GetRepeatable() && t.checkpoint == "" {
+		t.reason = string(spar.ReasonOutcomeUnknown)
+		s.index.move(j, i, wire.Phase_PHASE_UNKNOWN)
+		return
+	}
+	t.reason = string(spar.ReasonSilent)
+	s.reopen(j, i)
+}
--- /dev/null
+++ b/fold/state.go
@@ -0,0 +1,166 @@
+package fold
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/berylspar/spar/wire"
+)
+
+// State is the agreed state at an offset. One goroutine applies records; the
+// caller guards reads that happen meanwhile.
+type State struct {
+	first   int64
+	next    int64
+	config  Config
+	jobs    map[string]*Job
+	fences  map[string]*Fence
+	members map[string]*Member
+	onces   map[string]*Once
+	marks   map[string]*mark
+	voids   int64
+	index   index
+	check   func(body []byte) error
+}
+
+// NewState returns the state before the record at offset first. check refuses
+// configurations that no reader may accept; it must be a pure function.
+func NewState(first int64, check func(body []byte) error) *State {
+	return &State{
+		first: first, next: first, check: check, index: newIndex(),
+		jobs: map[string]*Job{}, fences: map[string]*Fence{}, members: map[string]*Member{},
+		onces: map[string]*Once{}, marks: map[string]*mark{},
+	}
+}
+
+// Next is the offset of the next record to apply.
+func (s *State) Next() int64 { return s.next }
+
+// Voids counts the void records.
+func (s *State) Voids() int64 { return s.voids }
+
+// Config returns the configuration in force.
+func (s *State) Config() Config { return s.config }
+
+// Job returns a job, or nil.
+func (s *State) Job(id string) *Job { return s.jobs[id] }
+
+// Jobs returns the ids of all jobs in order.
+func (s *State) Jobs() []string { return slices.Sorted(maps.Keys(s.jobs)) }
+
+// EachJob calls f for each job, in no order, until it returns false.
+func (s *State) EachJob(f func(*Job) bool) {
+	for _, j := range s.jobs {
+		if !f(j) {
+			return
+		}
+	}
+}
+
+// Fence returns the fence of a session.
+func (s *State) Fence(session string) (Fence, bool) {
+	f, ok := s.fences[session]
+	if !ok {
+		return Fence{}, false
+	}
+	return *f, true
+}
+
+// Fences returns all fences in the order of their sessions.
+func (s *State) Fences() []Fence {
+	out := make([]Fence, 0, len(s.fences))
+	for _, k := range slices.Sorted(maps.Keys(s.fences)) {
+		out = append(out, *s.fences[k])
+	}
+	return out
+}
+
+// Member returns an entry that registered.
+func (s *State) Member(entry string) (Member, bool) {
+	m, ok := s.members[entry]
+	if !ok {
+		return Member{}, false
+	}
+	return *m, true
+}
+
+// Members returns all entries in the order of their sessions.
+func (s *State) Members() []Member {
+	out := make([]Member, 0, len(s.members))
+	for _, k := range slices.Sorted(maps.Keys(s.members)) {
+		out = append(out, *s.members[k])
+	}
+	return out
+}
+
+// Once returns the request that holds a key.
+func (s *State) Once(key string) (Once, bool) {
+	o, ok := s.onces[key]
+	if !ok {
+		return Once{}, false
+	}
+	return *o, true
+}
+
+// Old returns the facts that can be known from no record at or after an
+// offset, in order; they must be carried before retention passes over them.
+func (s *State) Old(offset int64) []string {
+	var out []string
+	for k, m := range s.marks {
+		if s.has(k) && m.kept < offset {
+			out = append(out, k)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// LastMention is the offset of the newest record that names a fact.
+func (s *State) LastMention(fact string) int64 {
+	m := s.marks[fact]
+	if m == nil {
+		return -1
+	}
+	return m.mentioned
+}
+
+func (s *State) has(fact string) bool {
+	if fact == ConfigFact {
+		return s.config.revision > 0
+	}
+	id := fact[2:]
+	switch fact[0] {
+	case 'j':
+		return s.jobs[id] != nil
+	case 'f':
+		return s.fences[id] != nil
+	case 'm':
+		return s.members[id] != nil
+	case 'o':
+		return s.onces[id] != nil
+	}
+	return false
+}
+
+func (s *State) drop(fact string) {
+	id := fact[2:]
+	switch fact[0] {
+	case 'j':
+		s.index.remove(s.jobs[id])
+		delete(s.jobs, id)
+	case 'f':
+		delete(s.fences, id)
+	case 'm':
+		delete(s.members, id)
+	case 'o':
+		delete(s.onces, id)
+	}
+}
+
+func (s *State) task(r *wire.TaskRef) (*Job, *Task) {
+	j := s.jobs[r.GetJob()]
+	if j == nil || int(r.GetIndex()) >= len(j.tasks) {
+		return nil, nil
+	}
+	return j, &j.tasks[r.GetIndex()]
+}
--- /dev/null
+++ b/fold/task.go
@@ -0,0 +1,62 @@
+package fold
+
+import "github.com/berylspar/spar/wire"
+
+// Task is the agreed state of one task.
+type Task struct {
+	phase      wire.Phase
+	attempt    uint32
+	worker     string
+	session    string
+	checkpoint string
+	progressMS int64
+	failures   uint32
+	crashedOn  string
+	reason     string
+}
+
+// Phase tells how far the task is.
+func (t *Task) Phase() wire.Phase { return t.phase }
+
+// Attempt is the number of the newest claim, 0 before the first.
+func (t *Task) Attempt() uint32 { return t.attempt }
+
+// Worker is where the newest attempt was claimed.
+func (t *Task) Worker() string { return t.worker }
+
+// Session is the agent's session that the newest attempt was claimed for.
+func (t *Task) Session() string { return t.session }
+
+// Checkpoint names the progress that the next attempt resumes from.
+func (t *Task) Checkpoint() string { return t.checkpoint }
+
+// ProgressMS is the work held by the checkpoint, in milliseconds.
+func (t *Task) ProgressMS() int64 { return t.progressMS }
+
+// Failures counts the attempts that crashed.
+func (t *Task) Failures() uint32 { return t.failures }
+
+// CrashedOn is the worker of the newest crash.
+func (t *Task) CrashedOn() string { return t.crashedOn }
+
+// Reason tells why the task is where it is.
+func (t *Task) Reason() string { return t.reason }
+
+// IsEnded tells whether the task will never run again.
+func (t *Task) IsEnded() bool {
+	return t.phase != wire.Phase_PHASE_WAITING && t.phase != wire.Phase_PHASE_RUNNING
+}
+
+func (t *Task) fact() *wire.TaskFact {
+	return &wire.TaskFact{
+		Phase: t.phase, Attempt: t.attempt, Worker: t.worker, Session: t.session,
+		Checkpoint: t.checkpoint, ProgressMs: t.progressMS, Failures: t.failures, Reason: t.reason, CrashedOn: t.crashedOn,
+	}
+}
+
+func taskOf(f *wire.TaskFact) Task {
+	return Task{
+		phase: f.GetPhase(), attempt: f.GetAttempt(), worker: f.GetWorker(), session: f.GetSession(),
+		checkpoint: f.GetCheckpoint(), progressMS: f.GetProgressMs(), failures: f.GetFailures(), reason: f.GetReason(), crashedOn: f.GetCrashedOn(),
+	}
+}
--- /dev/null
+++ b/reason.go
@@ -0,0 +1,52 @@
+package spar
+
+// Reason tells why a decision was taken. It is part of the public interface:
+// people read it, and scripts match it.
+type Reason string
+
+// The reasons for decisions.
+const (
+	ReasonNone            Reason = ""
+	ReasonDuplicate       Reason = "duplicate"
+	ReasonStaleBase       Reason = "stale-base-revision"
+	ReasonInvalid         Reason = "invalid-record"
+	ReasonUnknownJob      Reason = "unknown-job"
+	ReasonUnknownTask     Reason = "unknown-task"
+	ReasonUnknownFact     Reason = "unknown-fact"
+	ReasonWrongAttempt    Reason = "wrong-attempt"
+	ReasonWrongPhase      Reason = "wrong-phase"
+	ReasonFenced          Reason = "session-fenced"
+	ReasonNotFenced       Reason = "session-not-fenced"
+	ReasonMemberFenced    Reason = "entry-expelled"
+	ReasonKeyTaken        Reason = "key-taken"
+	ReasonStaleCarry      Reason = "stale-carry"
+	ReasonCancelled       Reason = "job-cancelled"
+	ReasonDomainClosed    Reason = "domain-closed"
+	ReasonDomainExcluded  Reason = "domain-not-allowed"
+	ReasonStaleConfig     Reason = "configuration-not-fresh"
+	ReasonNoLease         Reason = "no-lease"
+	ReasonWrongSession    Reason = "other-session"
+	ReasonLeaving         Reason = "worker-leaving"
+	ReasonNoRoom          Reason = "no-room"
+	ReasonTooLarge        Reason = "larger-than-every-worker"
+	ReasonQuota           Reason = "over-quota"
+	ReasonHurtsService    Reason = "hurts-service"
+	ReasonNotReady        Reason = "not-ready"
+	ReasonNoWorker        Reason = "no-worker"
+	ReasonUnknownService  Reason = "unknown-service"
+	ReasonDeadline        Reason = "deadline-too-near"
+	ReasonQueueFull       Reason = "queue-full"
+	ReasonLogDown         Reason = "log-not-reachable"
+	ReasonNeverStarted    Reason = "never-started"
+	ReasonCrashes         Reason = "crashes-at-each-try"
+	ReasonOutcomeUnknown  Reason = "outcome-unknown"
+	ReasonInProgress      Reason = "first-try-in-progress"
+	ReasonBadAnswer       Reason = "bad-answer"
+	ReasonNoAnswer        Reason = "no-answer"
+	ReasonLatency         Reason = "service-latency"
+	ReasonStaleLog        Reason = "log-knowledge-not-fresh"
+	ReasonSilent          Reason = "worker-silent"
+	ReasonPlatformRefused Reason = "platform-refused"
+	ReasonRestart         Reason = "agent-restarted"
+	ReasonPreempted       Reason = "urgent-work"
+)
--- /dev/null
+++ b/stand/app/machine.go
@@ -0,0 +1,16 @@
+package app
+
+import (
+	"github.com/berylspar/spar/stand/back"
+	"github.com/berylspar/spar/stand/work"
+)
+
+// Machine is a worker with its backend server.
+type Machine struct {
+	settings WorkerSettings
+	worker   *work.Worker
+	server   *back.Server
+}
+
+// Machines are all machines by name.
+type Machines map[string]*Machine
--- /dev/null
+++ b/stand/app/platform.go
@@ -0,0 +1,151 @@
+package app
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/plat"
+	"github.com/berylspar/spar/stand/logs"
+	"github.com/berylspar/spar/stand/work"
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+)
+
+// platform serves the log, the worker API, the faults and the truth.
+type platform struct {
+	log      *logs.Log
+	truth    *work.Truth
+	machines Machines
+}
+
+func newPlatform(l *logs.Log, t *work.Truth, m Machines) *platform {
+	return &platform{log: l, truth: t, machines: m}
+}
+
+func (p *platform) handler() fasthttp.RequestHandler {
+	r := router.New()
+	r.POST("/log", p.append)
+	r.GET("/log", p.read)
+	r.POST("/workers/{worker}/start", handle(p, func(w *work.Worker, s spar.Start) any { return w.Start(s) }))
+	r.POST("/workers/{worker}/renew", handle(p, func(w *work.Worker, q plat.RenewRequest) any {
+		w.Renew(time.Duration(q.UntilNS), q.Tasks)
+		return spar.Listing{}
+	}))
+	r.POST("/workers/{worker}/throttle", handle(p, func(w *work.Worker, q plat.ThrottleRequest) any { return w.Throttle(q.ID, q.CPUMilli) }))
+	r.POST("/workers/{worker}/checkpoint", handle(p, func(w *work.Worker, q plat.StopRequest) any { return w.Checkpoint(q.ID) }))
+	r.POST("/workers/{worker}/stop", handle(p, func(w *work.Worker, q plat.StopRequest) any { return w.Stop(q.ID, q.Save) }))
+	r.POST("/workers/{worker}/clear", handle(p, func(w *work.Worker, q plat.StopRequest) any {
+		w.Clear(q.ID)
+		return spar.TaskStatus{ID: q.ID}
+	}))
+	r.GET("/workers/{worker}/list", handle(p, func(w *work.Worker, _ struct{}) any { return w.List() }))
+	r.POST("/faults/log", p.logFaults)
+	r.POST("/faults/workers/{worker}", handleFaults(p))
+	r.GET("/truth", func(c *fasthttp.RequestCtx) { answer(c, p.truth.Report()) })
+	r.GET("/counts", func(c *fasthttp.RequestCtx) { answer(c, p.log.Counts()) })
+	r.GET("/healthz", func(c *fasthttp.RequestCtx) { c.SetBodyString("alive\n") })
+	return r.Handler
+}
+
+func (p *platform) append(c *fasthttp.RequestCtx) {
+	q, ok := decode[plat.AppendRequest](c)
+	if !ok {
+		return
+	}
+	offset, ok := p.log.Append(c, q.Data)
+	if !ok {
+		c.Error("log not available", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	answer(c, plat.AppendAnswer{Offset: offset})
+}
+
+func (p *platform) read(c *fasthttp.RequestCtx) {
+	from, err := strconv.ParseInt(string(c.QueryArgs().Peek("from")), 10, 64)
+	if err != nil || from < 0 {
+		c.Error("from: not an offset", fasthttp.StatusBadRequest)
+		return
+	}
+	wait := time.Duration(c.QueryArgs().GetUintOrZero("wait_ms")) * time.Millisecond
+	oldest, head, data, gone, ok := p.log.Read(c, from, wait)
+	if !ok {
+		c.Error("log not available", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if gone {
+		c.Error(strconv.FormatInt(oldest, 10), fasthttp.StatusGone)
+		return
+	}
+	a := plat.PageAnswer{Oldest: oldest, Head: head}
+	for i, d := range data {
+		a.Entries = append(a.Entries, plat.PageEntry{Offset: from + int64(i), Data: d})
+	}
+	answer(c, a)
+}
+
+func (p *platform) logFaults(c *fasthttp.RequestCtx) {
+	if f, ok := decode[logs.Faults](c); ok {
+		p.log.SetFaults(f)
+		answer(c, f)
+	}
+}
+
+func handleFaults(p *platform) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		m := p.machines[c.UserValue("worker").(string)]
+		f, ok := decode[work.Faults](c)
+		if !ok {
+			return
+		}
+		if m == nil {
+			c.Error("no such worker", fasthttp.StatusNotFound)
+			return
+		}
+		m.worker.SetFaults(f)
+		answer(c, f)
+	}
+}
+
+// handle serves one call of the worker API.
+func handle[Q any](p *platform, f func(*work.Worker, Q) any) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		m := p.machines[c.UserValue("worker").(string)]
+		if m == nil {
+			c.Error("no such worker", fasthttp.StatusNotFound)
+			return
+		}
+		if m.worker.Faults().Down {
+			c.Error("worker API not available", fasthttp.StatusServiceUnavailable)
+			return
+		}
+		var q Q
+		if c.IsPost() {
+			var ok bool
+			if q, ok = decode[Q](c); !ok {
+				return
+			}
+		}
+		answer(c, f(m.worker, q))
+	}
+}
+
+func decode[T any](c *fasthttp.RequestCtx) (T, bool) {
+	var v T
+	if err := json.Unmarshal(c.PostBody(), &v); err != nil {
+		c.Error(err.Error(), fasthttp.StatusBadRequest)
+		return v, false
+	}
+	return v, true
+}
+
+func answer(c *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(body)
+}
--- /dev/null
+++ b/stand/logs/log.go
@@ -0,0 +1,218 @@
+// Package logs is a stand-in for the platform's append-only log: offsets, long
+// polls, a cap on appends, limited retention, and faults on demand.
+package logs
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Log is an append-only log in memory.
+type Log struct {
+	mu      sync.Mutex
+	oldest  int64
+	entries []entry
+	grown   chan struct{}
+	faults  Faults
+	window  time.Time
+	appends int64
+	counts  Counts
+	retain  time.Duration
+	cap     int64
+}
+
+type entry struct {
+	at   time.Time
+	data []byte
+}
+
+// Faults are what goes wrong on demand. The zero value is a healthy log.
+type Faults struct {
+	// Down refuses all calls.
+	Down bool `json:"down"`
+	// Hang makes calls wait for their time limit instead of a refusal.
+	Hang bool `json:"hang"`
+	// SlowMS delays each call.
+	SlowMS int64 `json:"slow_ms"`
+	// LostShare is the share of appends that take effect with no answer.
+	LostShare float64 `json:"lost_share"`
+	// LandWhileDown lets appends take effect during an outage.
+	LandWhileDown bool `json:"land_while_down"`
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Appends  int64 `json:"appends"`
+	Refused  int64 `json:"refused"`
+	Lost     int64 `json:"lost"`
+	Reads    int64 `json:"reads"`
+	Bytes    int64 `json:"bytes"`
+	ReadSent int64 `json:"read_bytes"`
+}
+
+const (
+	appendTime = 2 * time.Millisecond
+	pageBytes  = 1 << 20
+	maxWait    = 5 * time.Second
+	hangTime   = 3 * time.Second
+)
+
+// NewLog returns an empty log that keeps records for a time, 0 for ever, and
+// takes a number of appends a second, 0 for any.
+func NewLog(retain time.Duration, perSecond int64) *Log {
+	return &Log{grown: make(chan struct{}), retain: retain, cap: perSecond}
+}
+
+// SetFaults replaces the faults.
+func (l *Log) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Counts returns the totals.
+func (l *Log) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+// Append adds a record. It tells false when the answer must not be sent.
+func (l *Log) Append(ctx context.Context, data []byte) (int64, bool) {
+	sleep(ctx, appendTime+l.slowness())
+	l.mu.Lock()
+	f := l.faults
+	if f.Down && !f.LandWhileDown || !l.admit() {
+		l.counts.Refused++
+		l.mu.Unlock()
+		l.hang(ctx, f)
+		return 0, false
+	}
+	offset := l.oldest + int64(len(l.entries))
+	l.entries = append(l.entries, entry{at: time.Now(), data: data})
+	l.counts.Appends++
+	l.counts.Bytes += int64(len(data))
+	close(l.grown)
+	l.grown = make(chan struct{})
+	lost := f.Down || rand.Float64() < f.LostShare
+	if lost {
+		l.counts.Lost++
+	}
+	l.mu.Unlock()
+	if lost {
+		l.hang(ctx, f)
+	}
+	return offset, !lost
+}
+
+// admit holds the cap on appends a second. l.mu is held.
+func (l *Log) admit() bool {
+	if l.cap == 0 {
+		return true
+	}
+	if now := time.Now(); now.Sub(l.window) >= time.Second {
+		l.window = now
+		l.appends = 0
+	}
+	l.appends++
+	return l.appends <= l.cap
+}
+
+func (l *Log) slowness() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.faults.SlowMS) * time.Millisecond
+}
+
+func (l *Log) hang(ctx context.Context, f Faults) {
+	if f.Hang {
+		sleep(ctx, hangTime)
+	}
+}
+
+// Read returns the records from an offset on and the bounds of the log. It
+// waits for the first record. ok is false when no answer must be sent, gone is
+// true when retention has passed over from.
+func (l *Log) Read(ctx context.Context, from int64, wait time.Duration) (oldest, head int64, data [][]byte, gone, ok bool) {
+	sleep(ctx, l.slowness())
+	until := time.NewTimer(min(wait, maxWait))
+	defer until.Stop()
+	for {
+		l.mu.Lock()
+		l.expire()
+		f, grown := l.faults, l.grown
+		oldest, head = l.oldest, l.oldest+int64(len(l.entries))
+		if !f.Down && from < oldest {
+			l.mu.Unlock()
+			return oldest, head, nil, true, true
+		}
+		if !f.Down && from < head {
+			data = l.page(from)
+			l.mu.Unlock()
+			return oldest, head, data, false, true
+		}
+		l.counts.Reads++
+		l.mu.Unlock()
+		if f.Down {
+			l.hang(ctx, f)
+			return 0, 0, nil, false, false
+		}
+		select {
+		case <-grown:
+		case <-until.C:
+			return oldest, head, nil, false, true
+		case <-ctx.Done():
+			return 0, 0, nil, false, false
+		}
+	}
+}
+
+// page returns records up to a size. l.mu is held.
+func (l *Log) page(from int64) [][]byte {
+	var out [][]byte
+	size := 0
+	for _, e := range l.entries[from-l.oldest:] {
+		out = append(out, e.data)
+		size += len(e.data)
+		if size > pageBytes {
+			break
+		}
+	}
+	l.counts.Reads++
+	l.counts.ReadSent += int64(size)
+	return out
+}
+
+// Oldest returns the oldest offset kept.
+func (l *Log) Oldest() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire()
+	return l.oldest
+}
+
+// expire drops what retention has passed over. l.mu is held.
+func (l *Log) expire() {
+	if l.retain == 0 {
+		return
+	}
+	limit := time.Now().Add(-l.retain)
+	n := 0
+	for n < len(l.entries) && l.entries[n].at.Before(limit) {
+		n++
+	}
+	l.entries = l.entries[n:]
+	l.oldest += int64(n)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
