--- /dev/null
+++ b/agent/app/build.go
@@ -0,0 +1,65 @@
+package app
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/agent/ctrl"
+	"github.com/berylspar/spar/agent/relay"
+	"github.com/berylspar/spar/agent/renew"
+	"github.com/berylspar/spar/agent/tasks"
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/lease"
+	"github.com/berylspar/spar/ledger"
+	"github.com/berylspar/spar/plat"
+	"github.com/berylspar/spar/wire"
+	"go.uber.org/dig"
+)
+
+// session runs one session of the agent until the context ends or the session
+// is fenced.
+func session(ctx context.Context, s Settings, out, errs io.Writer) error {
+	c := dig.New()
+	for _, p := range []any{
+		func() Settings { return s },
+		func() lease.Terms { return s.Terms },
+		func() (*common.Base, error) { return common.NewBase(ctx, s.Settings, "agent", s.Worker, out, errs) },
+		func(b *common.Base) common.Common { return b.Common },
+		func() tasks.Place {
+			return tasks.Place{Worker: s.Worker, Domain: s.Domain, Session: newSession(s.Worker)}
+		},
+		func() spar.Platform { return plat.NewWorker(s.Platform, s.Worker) },
+		func() *ledger.Ledger { return ledger.NewLedger(s.Size) },
+		func() *lease.Holder { return &lease.Holder{} },
+		tasks.NewRunner,
+		newRelay,
+		func(r *tasks.Runner) *ctrl.Server { return ctrl.NewServer(r, s.Worker) },
+		newRenewer,
+		newDaemon,
+	} {
+		if err := c.Provide(p); err != nil {
+			return err
+		}
+	}
+	return c.Invoke(func(d *daemon) error { return d.run(ctx) })
+}
+
+func newRelay(c common.Common, s Settings, r *tasks.Runner) *relay.Relay {
+	return relay.NewRelay(c, relay.Settings{
+		Backend: s.Backend, Service: s.Service, Slots: s.Slots, Connections: s.Connections, Queue: s.Queue,
+	}, r.RequestGate, func(time.Duration) {})
+}
+
+func newRenewer(c common.Common, s Settings, r *tasks.Runner, h *lease.Holder, l *ledger.Ledger, y *relay.Relay, p tasks.Place) *renew.Renewer {
+	self := func() *wire.RenewRequest {
+		return &wire.RenewRequest{
+			Session: p.Session, Worker: s.Worker, Domain: s.Domain, Rack: s.Rack, Service: s.Service,
+			ControlAddress: s.Control, RequestAddress: s.Listen,
+			Total: wire.SizeOf(l.Total()), Free: wire.SizeOf(l.Free(time.Now())), Load: y.Load(),
+			Running: r.Running(), Leaving: r.IsLeaving(), Ready: r.IsReady(),
+		}
+	}
+	return renew.NewRenewer(c, r, h, s.Worker, time.Duration(s.RenewMS)*time.Millisecond, s.Terms.Start(), s.Entries, self)
+}
--- /dev/null
+++ b/agent/ctrl/ctrl.go
@@ -0,0 +1,48 @@
+// Package ctrl serves the commands of entries.
+package ctrl
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/agent/tasks"
+	"github.com/berylspar/spar/wire"
+)
+
+// Server serves wire.Agent.
+type Server struct {
+	runner *tasks.Runner
+	worker string
+}
+
+var _ wire.AgentHandler = (*Server)(nil)
+
+// NewServer returns a server of a runner's commands.
+func NewServer(r *tasks.Runner, worker string) *Server { return &Server{runner: r, worker: worker} }
+
+// Reserve holds room for a task.
+func (s *Server) Reserve(ctx context.Context, q *connect.Request[wire.ReserveRequest]) (*connect.Response[wire.ReserveAnswer], error) {
+	return connect.NewResponse(s.runner.Reserve(ctx, q.Msg)), nil
+}
+
+// Run starts a claimed attempt. It goes on when the caller goes away, since the
+// attempt is decided once.
+func (s *Server) Run(ctx context.Context, q *connect.Request[wire.RunRequest]) (*connect.Response[wire.RunAnswer], error) {
+	return connect.NewResponse(s.runner.Run(context.WithoutCancel(ctx), q.Msg)), nil
+}
+
+// Drop evicts the tasks of a session.
+func (s *Server) Drop(_ context.Context, q *connect.Request[wire.DropRequest]) (*connect.Response[wire.DropAnswer], error) {
+	if q.Msg.GetSession() == s.runner.Session() {
+		for _, t := range q.Msg.GetTasks() {
+			s.runner.EvictJobs([]string{t.GetJob()}, spar.Reason(q.Msg.GetReason()))
+		}
+	}
+	return connect.NewResponse(&wire.DropAnswer{}), nil
+}
+
+// Story tells the decisions about a subject.
+func (s *Server) Story(_ context.Context, q *connect.Request[wire.StoryRequest]) (*connect.Response[wire.StoryAnswer], error) {
+	return connect.NewResponse(&wire.StoryAnswer{Source: "agent " + s.worker, Events: s.runner.About(q.Msg.GetSubject())}), nil
+}
--- /dev/null
+++ b/agent/renew/renew.go
@@ -0,0 +1,235 @@
+// Package renew keeps the agent's lease: it renews at its home entry, tries the
+// others when that one fails, and takes in what the answers bring.
+package renew
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/agent/tasks"
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/lease"
+	"github.com/berylspar/spar/rendez"
+	"github.com/berylspar/spar/wire"
+	"github.com/cockroachdb/errors"
+)
+
+// ErrFenced says that the session was given up; the agent must start again
+// under a new one.
+var ErrFenced = errors.New("session fenced")
+
+// Times of the loop.
+const (
+	callLimit   = 400 * time.Millisecond
+	reportLimit = 5 * time.Second
+	reportEvery = 50 * time.Millisecond
+)
+
+// Renewer renews the lease of one session.
+type Renewer struct {
+	common.Common
+	runner *tasks.Runner
+	lease  *lease.Holder
+	worker string
+	every  time.Duration
+	fresh  time.Duration
+	self   func() *wire.RenewRequest
+	http   *http.Client
+
+	mu      sync.Mutex
+	entries []string
+	seeds   []string
+	clients map[string]wire.EntryClient
+	kick    chan struct{}
+}
+
+// NewRenewer returns a renewer. fresh is the age of the first configuration
+// that is taken in, self tells what to say of the agent, and seeds
+// are the control addresses of entries to begin with.
+func NewRenewer(c common.Common, r *tasks.Runner, h *lease.Holder, worker string, every, fresh time.Duration, seeds []string, self func() *wire.RenewRequest) *Renewer {
+	return &Renewer{
+		Common: c, runner: r, lease: h, worker: worker, every: every, fresh: fresh, self: self,
+		entries: seeds, seeds: seeds, clients: map[string]wire.EntryClient{},
+		http: common.NewRPCClient(), kick: make(chan struct{}, 1),
+	}
+}
+
+// Kick makes the next renewal come at once.
+func (r *Renewer) Kick() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run renews and reports until the context ends. It reports ErrFenced when the
+// session was given up.
+func (r *Renewer) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	reported := r.report(ctx)
+	go func() {
+		err := r.loop(ctx)
+		<-reported
+		done <- err
+	}()
+	return done
+}
+
+func (r *Renewer) loop(ctx context.Context) error {
+	tick := time.NewTicker(r.every)
+	defer tick.Stop()
+	for {
+		if err := r.Once(ctx); errors.Is(err, ErrFenced) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-r.kick:
+		}
+	}
+}
+
+// Once renews at the first entry that grants it.
+func (r *Renewer) Once(ctx context.Context) error {
+	var last error
+	for _, e := range r.order() {
+		granted, err := r.ask(ctx, e)
+		if granted || errors.Is(err, ErrFenced) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		last = err
+	}
+	r.Warn("lease not renewed", "left", r.lease.Left(time.Now()), "err", last)
+	return last
+}
+
+// order returns the entries, the home first.
+func (r *Renewer) order() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return rendez.Order(r.worker, r.entries)
+}
+
+func (r *Renewer) client(entry string) wire.EntryClient {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.clients[entry]
+	if c == nil {
+		c = wire.NewEntryClient(r.http, "http://"+entry)
+		r.clients[entry] = c
+	}
+	return c
+}
+
+func (r *Renewer) ask(ctx context.Context, entry string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	q := r.self()
+	q.Revision = r.runner.Config().Number
+	sent := time.Now()
+	a, err := r.client(entry).Renew(ctx, connect.NewRequest(q))
+	if err != nil {
+		return false, err
+	}
+	return r.take(ctx, sent, a.Msg)
+}
+
+// take takes in an answer. Times count from the sending of the question.
+func (r *Renewer) take(ctx context.Context, sent time.Time, a *wire.RenewAnswer) (bool, error) {
+	if a.GetFenced() {
+		r.lease.Revoke()
+		return false, errors.Wrapf(ErrFenced, "%s", a.GetReason())
+	}
+	age := time.Duration(a.GetConfigAgeMs()) * time.Millisecond
+	// A process that has just started serves nothing on old knowledge.
+	if r.runner.Config().Number == 0 && age >= r.fresh {
+		return false, errors.Newf("configuration is %s old", age)
+	}
+	if len(a.GetConfig()) > 0 {
+		c, err := deploy.Parse(a.GetConfig())
+		if err != nil {
+			r.Warn("configuration not readable", "revision", a.GetRevision(), "err", err)
+			return false, err
+		}
+		r.runner.Learn(context.WithoutCancel(ctx), &deploy.Revision{Configuration: c, Number: a.GetRevision()})
+	}
+	if a.GetRevision() == r.runner.Config().Number {
+		r.lease.Learnt(sent, age)
+	}
+	r.setEntries(a.GetEntries())
+	r.runner.EvictJobs(a.GetCancelled(), spar.ReasonCancelled)
+	if !a.GetGranted() {
+		return false, errors.Newf("not granted: %s", a.GetReason())
+	}
+	r.lease.Renewed(sent, time.Duration(a.GetLeaseMs())*time.Millisecond)
+	return true, nil
+}
+
+func (r *Renewer) setEntries(entries []string) {
+	if len(entries) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// The seeds stay in the list: an entry that was replaced may be reached
+	// there when all that were learnt are gone.
+	r.entries = rendez.Union(entries, r.seeds)
+}
+
+// report tells the entries how attempts ended, until it is folded.
+func (r *Renewer) report(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		tick := time.NewTicker(reportEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				done <- nil
+				return
+			case <-tick.C:
+				r.Report(ctx)
+			}
+		}
+	}()
+	return done
+}
+
+// Report sends what waits to be folded, to the first entry that takes it. It
+// tells whether nothing is left.
+func (r *Renewer) Report(ctx context.Context) bool {
+	q := r.runner.Reports()
+	if len(q.GetEnds())+len(q.GetEvicts()) == 0 {
+		return true
+	}
+	for _, e := range r.order() {
+		a, err := r.send(ctx, e, q)
+		if err != nil {
+			r.Debug("report not taken", "entry", e, "err", err)
+			continue
+		}
+		r.runner.Reported(ctx, q, a)
+		return false
+	}
+	return false
+}
+
+func (r *Renewer) send(ctx context.Context, entry string, q *wire.ReportRequest) (*wire.ReportAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	a, err := r.client(entry).Report(ctx, connect.NewRequest(q))
+	if err != nil {
+		return nil, err
+	}
+	return a.Msg, nil
+}
--- a/agent/tasks/local.go
+++ b/agent/tasks/local.go
@@ -1,6 +1,8 @@
 package tasks
 
 import (
+	"time"
+
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/wire"
 )
@@ -25,7 +27,11 @@
 	evictFor   spar.Reason
 	end        *wire.End
 	evict      *wire.Evict
-	cpu        int64
-	startedAt  int64
 	repeatable bool
+	// startBy is the last moment, on the platform's clock, at which the start
+	// can take effect; 0 until the platform was asked.
+	startBy time.Duration
+	// cpu is the cap set by the throttle, in thousandths.
+	cpu       int64
+	startedAt time.Time
 }
--- a/agent/tasks/runner.go
+++ b/agent/tasks/runner.go
@@ -40,7 +40,7 @@
 	ledger   *ledger.Ledger
 	lease    *lease.Holder
 	clock    platformClock
-	config   atomic.Pointer[Config]
+	config   deploy.Holder
 	leaving  atomic.Bool
 	ready    atomic.Bool
 
@@ -52,12 +52,6 @@
 	avoid  func(kind string) bool
 }
 
-// Config is a configuration with its revision.
-type Config struct {
-	deploy.Configuration
-	Revision int64
-}
-
 // NewRunner returns a runner that accepts nothing before it is ready.
 func NewRunner(c common.Common, p Place, t lease.Terms, platform spar.Platform, l *ledger.Ledger, h *lease.Holder) *Runner {
 	r := &Runner{
@@ -65,7 +59,6 @@
 		tasks: map[string]*local{}, newest: map[string]uint32{}, avoid: func(string) bool { return false },
 	}
 	r.clock.terms = t
-	r.config.Store(&Config{})
 	return r
 }
 
@@ -77,20 +70,14 @@
 func (r *Runner) SetAvoid(f func(kind string) bool) { r.avoid = f }
 
 // Config returns the newest configuration known.
-func (r *Runner) Config() *Config { return r.config.Load() }
+func (r *Runner) Config() *deploy.Revision { return r.config.Load() }
 
 // Learn takes in a configuration; a lower revision than the known is dropped.
-func (r *Runner) Learn(ctx context.Context, c *Config) {
-	for {
-		old := r.config.Load()
-		if c.Revision <= old.Revision {
-			return
-		}
-		if r.config.CompareAndSwap(old, c) {
-			break
-		}
-	}
-	r.Info("configuration in force", "revision", c.Revision)
+func (r *Runner) Learn(ctx context.Context, c *deploy.Revision) {
+	if !r.config.Raise(c) {
+		return
+	}
+	r.Info("configuration in force", "revision", c.Number)
 	if !c.IsOpen(r.place.Domain) {
 		r.EvictAll(ctx, spar.ReasonDomainClosed)
 	}
@@ -203,7 +190,7 @@
 	if !r.ledger.Reserve(id, size, now, now.Add(reserveTime)) || !r.ledger.Commit(id, now) {
 		return nil, spar.ReasonNoRoom
 	}
-	t := &local{id: id, spec: q.GetSpec(), repeatable: q.GetSpec().GetRepeatable(), cpu: size.CPUMilli, startedAt: now.UnixMilli()}
+	t := &local{id: id, spec: q.GetSpec(), repeatable: q.GetSpec().GetRepeatable(), cpu: size.CPUMilli, startedAt: now}
 	r.tasks[key] = t
 	return t, spar.ReasonNone
 }
@@ -218,6 +205,9 @@
 		r.never(t, spar.ReasonNotReady)
 		return &wire.RunAnswer{Refused: true, Reason: string(spar.ReasonNotReady)}
 	}
+	r.mu.Lock()
+	t.startBy = startBy
+	r.mu.Unlock()
 	status, err := r.platform.Start(ctx, spar.Start{
 		ID: t.id, Kind: t.spec.GetKind(), Size: t.spec.GetSize().Spar(),
 		Run:        time.Duration(t.spec.GetRunMs()) * time.Millisecond,
@@ -253,3 +243,28 @@
 	}
 	r.ledger.Release(t.id)
 }
+
+// IsLeaving tells whether the agent stops by plan.
+func (r *Runner) IsLeaving() bool { return r.leaving.Load() }
+
+// IsReady tells whether the agent holds a fresh configuration and knows what
+// runs on its worker.
+func (r *Runner) IsReady() bool {
+	return r.ready.Load() && r.config.Load().Number > 0
+}
+
+// RequestGate tells why no request of a caller is taken now. During an outage
+// of the log requests go on with the newest configuration known: to refuse
+// callers would be worse.
+func (r *Runner) RequestGate() spar.Reason {
+	c := r.config.Load()
+	switch {
+	case r.leaving.Load():
+		return spar.ReasonLeaving
+	case c.Number == 0:
+		return spar.ReasonNotReady
+	case !c.IsOpen(r.place.Domain):
+		return spar.ReasonDomainClosed
+	}
+	return spar.ReasonNone
+}
--- a/agent/tasks/watch.go
+++ b/agent/tasks/watch.go
@@ -40,7 +40,7 @@
 	r.settle(t, s)
 }
 
-// Run watches the platform's tasks and renews their leases until the context
+// Watch watches the platform's tasks and renews their leases until the context
 // ends.
 func (r *Runner) Watch(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
@@ -72,7 +72,9 @@
 		r.Warn("worker API not available", "err", err)
 		return
 	}
-	r.reconcile(l)
+	for _, id := range r.reconcile(l) {
+		r.clear(ctx, id)
+	}
 	if left := r.lease.Left(time.Now()); left < r.terms.Lease()/evictShare {
 		r.EvictAll(ctx, spar.ReasonNoLease)
 	}
@@ -90,18 +92,34 @@
 	return l, err
 }
 
-// reconcile takes in what the platform tells of its tasks.
-func (r *Runner) reconcile(l spar.Listing) {
+// reconcile takes in what the platform tells of its tasks. It returns ended
+// tasks that were reported and not yet cleared.
+func (r *Runner) reconcile(l spar.Listing) []spar.TaskID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var leftover []spar.TaskID
+	listed := map[spar.TaskID]bool{}
 	for _, s := range l.Tasks {
+		listed[s.ID] = true
 		t := r.tasks[s.ID.Task()]
-		if t == nil || t.id != s.ID || t.stage == ended {
+		if t == nil || t.id != s.ID {
+			if s.State != spar.TaskRunning {
+				leftover = append(leftover, s.ID)
+			}
 			continue
 		}
-		t.stage = running
-		r.settle(t, s)
+		if t.stage != ended {
+			t.stage = running
+			r.settle(t, s)
+		}
+	}
+	for _, t := range r.tasks {
+		if t.stage == starting && t.startBy > 0 && l.Now > t.startBy && !listed[t.id] {
+			// The start was not answered, and can no longer take effect.
+			r.settle(t, spar.TaskStatus{ID: t.id, State: spar.TaskRefused, Checkpoint: ""})
+		}
 	}
+	return leftover
 }
 
 // settle turns a state of the platform into a report. r.mu is held.
--- /dev/null
+++ b/beryl/cmds/force.go
@@ -0,0 +1,83 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// force is the answer of an entry on the revision in force.
+type force struct {
+	Entry    string   `json:"entry"`
+	Revision int64    `json:"revision"`
+	AgeMS    int64    `json:"age_ms"`
+	Agents   int      `json:"agents"`
+	Behind   []string `json:"behind"`
+}
+
+// await waits until all entries and their agents hold a revision, and says
+// where it is not.
+func (r *Runner) await(ctx context.Context, revision int64) error {
+	began := time.Now()
+	for {
+		missing := r.missing(ctx, revision)
+		if len(missing) == 0 {
+			fmt.Fprintf(r.Out, "revision %d in force everywhere after %d ms\n", revision, time.Since(began).Milliseconds())
+			return nil
+		}
+		if time.Since(began) > forceLimit || ctx.Err() != nil {
+			return errors.Newf("revision %d is accepted, but not seen in force after %s at: %s", revision, time.Since(began).Round(time.Millisecond), strings.Join(missing, ", "))
+		}
+		time.Sleep(forcePoll)
+	}
+}
+
+func (r *Runner) missing(ctx context.Context, revision int64) []string {
+	var out []string
+	for _, e := range r.target.Entries {
+		f, err := get[force](ctx, r, e, "/v1/force")
+		switch {
+		case err != nil:
+			out = append(out, "entry "+e+" (no answer)")
+		case f.Revision < revision:
+			out = append(out, fmt.Sprintf("entry %s (revision %d)", e, f.Revision))
+		default:
+			for _, b := range f.Behind {
+				out = append(out, "agent "+b)
+			}
+		}
+	}
+	return out
+}
+
+func (r *Runner) show(ctx context.Context, args []string) error {
+	if len(args) > 0 {
+		return errors.Mark(errors.New("takes no argument"), ErrUsage)
+	}
+	t, end, err := r.follow(ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	f := t.Config()
+	fmt.Fprintf(r.Out, "revision %d by %s\n%s", f.Revision(), f.Author(), f.Body())
+	for _, e := range r.target.Entries {
+		a, err := get[force](ctx, r, e, "/v1/force")
+		if err != nil {
+			fmt.Fprintf(r.Out, "entry %s: no answer\n", e)
+			continue
+		}
+		fmt.Fprintf(r.Out, "entry %s: revision %d, read %d ms ago; %d agents, behind: %s\n", e, a.Revision, a.AgeMS, a.Agents, orNone(a.Behind))
+	}
+	return nil
+}
+
+func orNone(all []string) string {
+	if len(all) == 0 {
+		return "none"
+	}
+	return strings.Join(all, ", ")
+}
--- /dev/null
+++ b/beryl/cmds/publish.go
@@ -0,0 +1,138 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/tail"
+	"github.com/berylspar/spar/wire"
+	"github.com/cockroachdb/errors"
+)
+
+// Times of a publication.
+const (
+	appendLimit = 30 * time.Second
+	forceLimit  = 15 * time.Second
+	forcePoll   = 100 * time.Millisecond
+)
+
+// current is the base that stands for the revision in force.
+const current = -1
+
+func (r *Runner) check(_ context.Context, args []string) error {
+	path, err := one(args, "a file")
+	if err != nil {
+		return err
+	}
+	c, err := load(path)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(r.Out, "%s: good: %d domains, %d services, %d teams, %d kinds\n", path, len(c.Domains), len(c.Services), len(c.Teams), len(c.Kinds))
+	return nil
+}
+
+func load(path string) (deploy.Configuration, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return deploy.Configuration{}, errors.Mark(err, ErrUsage)
+	}
+	c, err := deploy.Parse(data)
+	return c, errors.Wrapf(err, "%s", path)
+}
+
+func (r *Runner) publish(ctx context.Context, args []string) error {
+	flags := flag.NewFlagSet("beryl publish", flag.ContinueOnError)
+	base := flags.Int64("base", current, "`revision` that the configuration was made from (-1: the one in force)")
+	if err := r.parse(flags, args); err != nil {
+		return err
+	}
+	path, err := one(flags.Args(), "a file")
+	if err != nil {
+		return err
+	}
+	c, err := load(path)
+	if err != nil {
+		return err
+	}
+	t, end, err := r.follow(ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	if *base == current {
+		*base = t.Config().Revision()
+	}
+	return r.put(ctx, t, *base, c)
+}
+
+// put appends a configuration made from a base, and waits until it is in force.
+func (r *Runner) put(ctx context.Context, t *tail.Tail, base int64, c deploy.Configuration) error {
+	body, err := c.Print()
+	if err != nil {
+		return err
+	}
+	limit, cancel := context.WithTimeout(ctx, appendLimit)
+	defer cancel()
+	out, err := t.Append(limit, &wire.Record{Body: &wire.Record_Configure{Configure: &wire.Configure{Base: base, Body: body, Author: author()}}})
+	if err != nil {
+		return errors.Wrapf(err, "the log did not confirm revision %d; it may have been taken: see beryl show", base+1)
+	}
+	switch out.Outcome.Reason() {
+	case spar.ReasonNone:
+		fmt.Fprintf(r.Out, "revision %d accepted\n", base+1)
+		return r.await(ctx, base+1)
+	case spar.ReasonStaleBase:
+		w := t.Config()
+		return errors.Newf("not accepted: made from revision %d, but revision %d by %s is in force; make the change again from that one", base, w.Revision(), w.Author())
+	default:
+		return errors.Newf("not accepted: %s", out.Outcome.Reason())
+	}
+}
+
+func author() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
+
+func (r *Runner) domainClose(ctx context.Context, args []string) error {
+	return r.domain(ctx, args, true)
+}
+
+func (r *Runner) domainOpen(ctx context.Context, args []string) error {
+	return r.domain(ctx, args, false)
+}
+
+func (r *Runner) domain(ctx context.Context, args []string, closed bool) error {
+	name, err := one(args, "a failure domain")
+	if err != nil {
+		return err
+	}
+	t, end, err := r.follow(ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	f := t.Config()
+	if f.Revision() == 0 {
+		return errors.New("no configuration was published yet")
+	}
+	c, err := deploy.Parse(f.Body())
+	if err != nil {
+		return err
+	}
+	c, known := c.WithClosed(name, closed)
+	if !known {
+		return errors.Mark(errors.Newf("%q is not one of the domains of revision %d", name, f.Revision()), ErrUsage)
+	}
+	return r.put(ctx, t, f.Revision(), c)
+}
--- /dev/null
+++ b/beryl/cmds/runner.go
@@ -0,0 +1,101 @@
+// Package cmds holds the commands of beryl, one file each.
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrUsage marks a wrong use of a command.
+var ErrUsage = errors.New("wrong use")
+
+// Target is what the commands talk to.
+type Target struct {
+	Platform string
+	Entries  []string
+	TeamKey  string
+}
+
+// Streams are where the commands write.
+type Streams struct {
+	Out  io.Writer
+	Errs io.Writer
+}
+
+// Runner runs commands.
+type Runner struct {
+	Streams
+	target Target
+}
+
+// NewRunner returns a runner against a target.
+func NewRunner(t Target, s Streams) *Runner { return &Runner{Streams: s, target: t} }
+
+// command is one command with its words.
+type command struct {
+	words string
+	args  string
+	about string
+	run   func(r *Runner, ctx context.Context, args []string) error
+}
+
+func commands() []command {
+	return []command{
+		{"check", "FILE", "check a configuration and print what is wrong with which field", (*Runner).check},
+		{"publish", "[-base N] FILE", "publish a configuration and wait until it is in force", (*Runner).publish},
+		{"show", "", "print the revision and the configuration in force, and where", (*Runner).show},
+		{"domain close", "NAME", "take a failure domain out; waits until in force", (*Runner).domainClose},
+		{"domain open", "NAME", "let a failure domain return; waits until in force", (*Runner).domainOpen},
+		{"job submit", "-job NAME -kind KIND [-tasks N] [-run-ms N]", "submit a batch job", (*Runner).jobSubmit},
+		{"job show", "NAME", "tell where each task of a job is, and why", (*Runner).jobShow},
+		{"job list", "", "list the jobs", (*Runner).jobList},
+		{"job cancel", "NAME", "cancel a job", (*Runner).jobCancel},
+		{"workers", "", "list the workers that are known", (*Runner).workers},
+		{"why", "TASK|WORKER|REQUEST", "tell the decisions about a task (job/index), a worker or a request", (*Runner).why},
+	}
+}
+
+// Help returns a line for each command.
+func Help() string {
+	var b strings.Builder
+	for _, c := range commands() {
+		fmt.Fprintf(&b, "  %-13s %-48s %s\n", c.words, c.args, c.about)
+	}
+	return b.String()
+}
+
+// Run runs the command that the arguments name.
+func (r *Runner) Run(ctx context.Context, args []string) error {
+	for _, c := range commands() {
+		words := strings.Fields(c.words)
+		if len(args) >= len(words) && strings.Join(args[:len(words)], " ") == c.words {
+			return c.run(r, ctx, args[len(words):])
+		}
+	}
+	if len(args) == 0 {
+		return errors.Mark(errors.New("no command; beryl -h lists them"), ErrUsage)
+	}
+	return errors.Mark(errors.Newf("%q is not a command; beryl -h lists them", strings.Join(args, " ")), ErrUsage)
+}
+
+// one returns the only argument of a command.
+func one(args []string, what string) (string, error) {
+	if len(args) != 1 {
+		return "", errors.Mark(errors.Newf("takes one argument, %s, and got %d", what, len(args)), ErrUsage)
+	}
+	return args[0], nil
+}
+
+// parse parses the flags of a command.
+func (r *Runner) parse(f *flag.FlagSet, args []string) error {
+	f.SetOutput(r.Errs)
+	if err := f.Parse(args); err != nil {
+		return errors.Mark(err, ErrUsage)
+	}
+	return nil
+}
--- /dev/null
+++ b/common/base.go
@@ -0,0 +1,42 @@
+package common
+
+import (
+	"context"
+	"io"
+
+	"github.com/berylspar/spar/event"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// Base owns what Common shows, and ends it.
+type Base struct {
+	Common   Common
+	Reporter prometheus.Reporter
+	flush    func(context.Context) error
+	closer   io.Closer
+}
+
+// NewBase builds what every daemon has. Logs go to errs and spans to out.
+func NewBase(ctx context.Context, s Settings, program, name string, out, errs io.Writer) (*Base, error) {
+	tracer, flush, err := NewTracer(ctx, s, out, program, name)
+	if err != nil {
+		return nil, err
+	}
+	scope, reporter, closer := NewScope(program)
+	return &Base{
+		Common: Common{
+			Logger: NewLogger(errs, s, program, name), Scope: scope, Tracer: tracer,
+			Ring: &event.Ring{}, Health: &Health{},
+		},
+		Reporter: reporter, flush: flush, closer: closer,
+	}, nil
+}
+
+// Close flushes spans and metrics.
+func (b *Base) Close(ctx context.Context) error {
+	err := b.flush(ctx)
+	if e := b.closer.Close(); err == nil {
+		err = e
+	}
+	return err
+}
--- /dev/null
+++ b/entry/admin/show.go
@@ -0,0 +1,146 @@
+package admin
+
+import (
+	"context"
+	"crypto/subtle"
+	"slices"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/fold"
+	"github.com/berylspar/spar/wire"
+	"github.com/valyala/fasthttp"
+)
+
+// askLimit bounds the wait for the story of one agent or entry.
+const askLimit = time.Second
+
+func equal(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
+
+func (a *Admin) list(c *fasthttp.RequestCtx) {
+	out := []JobAnswer{}
+	a.tail.View(func(f *fold.State) {
+		for _, id := range f.Jobs() {
+			j := a.job(f.Job(id))
+			j.Tasks = nil
+			out = append(out, j)
+		}
+	})
+	answer(c, out)
+}
+
+func (a *Admin) show(c *fasthttp.RequestCtx) {
+	job := c.UserValue("job").(string)
+	var out JobAnswer
+	known := false
+	a.tail.View(func(f *fold.State) {
+		if j := f.Job(job); j != nil {
+			out, known = a.job(j), true
+		}
+	})
+	if !known {
+		fail(c, fasthttp.StatusNotFound, "job", "no job "+job)
+		return
+	}
+	answer(c, out)
+}
+
+func (a *Admin) job(j *fold.Job) JobAnswer {
+	out := JobAnswer{
+		Job: j.Spec().GetJob(), Kind: j.Spec().GetKind(), Team: j.Spec().GetTeam(), Cancelled: j.IsCancelled(),
+		Ended: j.IsEnded(), Done: j.Count(wire.Phase_PHASE_DONE),
+	}
+	for i := range j.Len() {
+		t := j.Task(i)
+		n := TaskAnswer{
+			Index: i, Phase: phase(t.Phase()), Attempt: t.Attempt(), Checkpoint: t.Checkpoint(),
+			ProgressMS: t.ProgressMS(), Reason: t.Reason(),
+		}
+		if t.Phase() == wire.Phase_PHASE_RUNNING {
+			n.Worker = t.Worker()
+		}
+		if t.Phase() == wire.Phase_PHASE_WAITING {
+			n.Reason = a.waitReason(j, i, n.Reason)
+		}
+		out.Tasks = append(out.Tasks, n)
+	}
+	return out
+}
+
+// waitReason is what this entry's planner says, or what the fold does.
+func (a *Admin) waitReason(j *fold.Job, i int, folded string) string {
+	id := spar.TaskID{Job: j.Spec().GetJob(), Index: uint32(i)}
+	if why := a.planner.Why(id.Task()); why != spar.ReasonNone {
+		return string(why)
+	}
+	return folded
+}
+
+func phase(p wire.Phase) string {
+	return strings.ToLower(strings.ReplaceAll(strings.TrimPrefix(p.String(), "PHASE_"), "_", "-"))
+}
+
+func (a *Admin) force(c *fasthttp.RequestCtx) {
+	now := time.Now()
+	out := Force{Entry: a.name, Revision: a.rules.Load().Number, AgeMS: now.Sub(a.tail.FreshAt()).Milliseconds(), Behind: []string{}}
+	for _, w := range a.table.All(now) {
+		if now.Sub(w.Heard()) > heardWithin {
+			continue
+		}
+		out.Agents++
+		if w.State().GetRevision() < out.Revision {
+			out.Behind = append(out.Behind, w.State().GetWorker())
+		}
+	}
+	answer(c, out)
+}
+
+func (a *Admin) workers(c *fasthttp.RequestCtx) {
+	now := time.Now()
+	out := []WorkerAnswer{}
+	for _, w := range a.table.All(now) {
+		s := w.State()
+		out = append(out, WorkerAnswer{
+			Worker: s.GetWorker(), Domain: s.GetDomain(), Session: s.GetSession(), Revision: s.GetRevision(),
+			Free: s.GetFree().Spar(), Total: s.GetTotal().Spar(), SilentMS: now.Sub(w.Heard()).Milliseconds(),
+			Leaving: s.GetLeaving(), Suspect: w.IsSuspect(now),
+		})
+	}
+	answer(c, out)
+}
+
+// why gathers the decisions about a subject from all entries and agents, in
+// order, and names those that could not be asked.
+func (a *Admin) why(c *fasthttp.RequestCtx) {
+	subject := c.UserValue("subject").(string)
+	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
+	defer cancel()
+	out := Story{Subject: subject, Events: lines("entry "+a.name, a.About(subject)), Missed: []string{}}
+	answers, missed := a.peers.Stories(ctx, subject)
+	out.Missed = append(out.Missed, missed...)
+	for _, w := range a.table.All(time.Now()) {
+		s := w.State()
+		client := wire.NewAgentClient(a.http, "http://"+s.GetControlAddress())
+		r, err := client.Story(ctx, connect.NewRequest(&wire.StoryRequest{Subject: subject}))
+		if err != nil {
+			out.Missed = append(out.Missed, "agent "+s.GetWorker())
+			continue
+		}
+		answers = append(answers, r.Msg)
+	}
+	for _, r := range answers {
+		out.Events = append(out.Events, lines(r.GetSource(), r.GetEvents())...)
+	}
+	slices.SortStableFunc(out.Events, func(x, y Line) int { return int(x.UnixUS - y.UnixUS) })
+	answer(c, out)
+}
+
+func lines(source string, events []*wire.Event) []Line {
+	out := []Line{}
+	for _, e := range events {
+		out = append(out, Line{UnixUS: e.GetUnixUs(), Source: source, Subject: e.GetSubject(), Decision: e.GetDecision(), Reason: e.GetReason(), Detail: e.GetDetail()})
+	}
+	return out
+}
--- /dev/null
+++ b/entry/app/build.go
@@ -0,0 +1,147 @@
+package app
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/entry/admin"
+	"github.com/berylspar/spar/entry/agents"
+	"github.com/berylspar/spar/entry/ctrl"
+	"github.com/berylspar/spar/entry/front"
+	"github.com/berylspar/spar/entry/peers"
+	"github.com/berylspar/spar/entry/plan"
+	"github.com/berylspar/spar/entry/rules"
+	"github.com/berylspar/spar/entry/watch"
+	"github.com/berylspar/spar/fold"
+	"github.com/berylspar/spar/lease"
+	"github.com/berylspar/spar/member"
+	"github.com/berylspar/spar/plat"
+	"github.com/berylspar/spar/route"
+	"github.com/berylspar/spar/tail"
+	"github.com/berylspar/spar/wire"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/dig"
+)
+
+// sessionName is the name of an entry from one start to the next.
+type sessionName string
+
+// Times of the start.
+const (
+	startLimit = 2 * time.Second
+	startPause = 200 * time.Millisecond
+)
+
+// session runs an entry under one name.
+func session(ctx context.Context, s Settings, out, errs io.Writer) error {
+	c := dig.New()
+	for _, p := range []any{
+		func() Settings { return s },
+		func() lease.Terms { return s.Terms },
+		func() sessionName { return newName(s.Name) },
+		func() (*common.Base, error) { return common.NewBase(ctx, s.Settings, "entry", s.Name, out, errs) },
+		func(b *common.Base) common.Common { return b.Common },
+		func() spar.Log { return plat.NewLog(s.Platform) },
+		func(c common.Common, l spar.Log) (*fold.State, error) { return firstState(ctx, c, s, l) },
+		func(l spar.Log, f *fold.State) *tail.Tail { return tail.NewTail(s.Log, l, f) },
+		func(n sessionName, t lease.Terms) *member.View { return member.NewView(string(n), t) },
+		agents.NewTable,
+		rules.NewRules,
+		newRouter,
+		newPeers,
+		newPlanner,
+		newWatch,
+		newFront,
+		newServer,
+		newAdmin,
+		newDaemon,
+	} {
+		if err := c.Provide(p); err != nil {
+			return err
+		}
+	}
+	err := c.Invoke(func(d *daemon) error { return d.run(ctx) })
+	return dig.RootCause(err)
+}
+
+func newRouter(s Settings) *route.Router {
+	return route.NewRouter(s.Domain, time.Duration(s.Front.FarUS)*time.Microsecond, s.Front.Policy, front.Dial)
+}
+
+func newPeers(c common.Common, s Settings, n sessionName, l *tail.Tail, v *member.View, a *agents.Table) *peers.Peers {
+	return peers.NewPeers(c, string(n), s.Control, s.Terms, l, v, a)
+}
+
+func newPlanner(c common.Common, s Settings, n sessionName, l *tail.Tail, a *agents.Table, p *peers.Peers, r *rules.Rules) *plan.Planner {
+	return plan.NewPlanner(c, string(n), s.Terms, l, a, p, r)
+}
+
+func newWatch(c common.Common, s Settings, n sessionName, l *tail.Tail, v *member.View, a *agents.Table, p *peers.Peers) *watch.Watch {
+	return watch.NewWatch(c, s.Watch, string(n), s.Terms, l, v, a, p)
+}
+
+func newFront(c common.Common, s Settings, n sessionName, l *tail.Tail, r *rules.Rules, o *route.Router, b *common.Base) *front.Front {
+	return front.NewFront(c, s.Front, string(n), l, r, o, func() bool { return r.Load().Number > 0 && !l.FreshAt().IsZero() })
+}
+
+func newServer(c common.Common, s Settings, n sessionName, l *tail.Tail, v *member.View, a *agents.Table, r *rules.Rules, p *plan.Planner) *ctrl.Server {
+	lost := func(session string, missing []spar.TaskID) { p.Lost(context.Background(), session, missing) }
+	return ctrl.NewServer(c, string(n), s.Terms, l, v, a, r, lost)
+}
+
+func newAdmin(c common.Common, s Settings, n sessionName, l *tail.Tail, a *agents.Table, p *peers.Peers, r *rules.Rules, planner *plan.Planner) *admin.Admin {
+	return admin.NewAdmin(c, string(n), s.Terms, s.TeamKeys, l, a, p, r, planner)
+}
+
+// firstState takes a snapshot from a peer, or else begins at the oldest record
+// that the log keeps.
+func firstState(ctx context.Context, c common.Common, s Settings, l spar.Log) (*fold.State, error) {
+	client := common.NewRPCClient()
+	for ctx.Err() == nil {
+		page, err := bounds(ctx, l)
+		if err != nil {
+			c.Warn("log not available", "err", err)
+			pause(ctx)
+			continue
+		}
+		for _, p := range s.Peers {
+			if f := snapshot(ctx, client, p); f != nil && f.Next() >= page.Oldest {
+				c.Info("took a snapshot", "peer", p, "offset", f.Next())
+				return f, nil
+			}
+		}
+		c.Info("begins at the oldest record", "offset", page.Oldest)
+		return fold.NewState(page.Oldest, deploy.CheckBody), nil
+	}
+	return nil, errors.Wrap(ctx.Err(), "stopped before the log was read")
+}
+
+func bounds(ctx context.Context, l spar.Log) (spar.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	return l.Read(ctx, math.MaxInt64, 0)
+}
+
+func snapshot(ctx context.Context, client *http.Client, peer string) *fold.State {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	a, err := wire.NewEntryClient(client, "http://"+peer).Snap(ctx, connect.NewRequest(&wire.SnapshotRequest{}))
+	if err != nil {
+		return nil
+	}
+	return fold.Restore(a.Msg, deploy.CheckBody)
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(startPause):
+	}
+}
--- /dev/null
+++ b/entry/plan/fly.go
@@ -0,0 +1,176 @@
+package plan
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/fold"
+	"github.com/berylspar/spar/wire"
+)
+
+// fly sends an offer on its way. It tells false when too many are.
+func (p *Planner) fly(ctx context.Context, o *offer, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.flights) >= maxFlights {
+		return false
+	}
+	key := o.id.Task()
+	delete(p.why, key)
+	p.flights[key] = flight{team: o.spec.GetTeam(), size: o.spec.GetSize().Spar(), until: now.Add(flightLimit)}
+	p.running.Go(func() {
+		p.place(ctx, o)
+		p.mu.Lock()
+		delete(p.flights, key)
+		p.mu.Unlock()
+	})
+	return true
+}
+
+// place takes one task from reservation to running.
+func (p *Planner) place(ctx context.Context, o *offer) {
+	if reason := p.reserve(ctx, o); reason != spar.ReasonNone {
+		p.blocked(o, reason)
+		return
+	}
+	if !p.claim(ctx, o) {
+		return
+	}
+	p.Add(o.id.Task(), "placed", spar.ReasonNone, o.worker)
+	p.run(ctx, o)
+}
+
+func (p *Planner) client(worker string) (wire.AgentClient, bool) {
+	a, ok := p.table.Find(worker)
+	if !ok {
+		return nil, false
+	}
+	address := a.State().GetControlAddress()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[address]
+	if c == nil {
+		c = wire.NewAgentClient(p.http, "http://"+address)
+		p.clients[address] = c
+	}
+	return c, true
+}
+
+func (p *Planner) reserve(ctx context.Context, o *offer) spar.Reason {
+	ctx, cancel := context.WithTimeout(ctx, reserveLimit)
+	defer cancel()
+	c, ok := p.client(o.worker)
+	if !ok {
+		return spar.ReasonNoWorker
+	}
+	a, err := c.Reserve(ctx, connect.NewRequest(&wire.ReserveRequest{
+		Session: o.session, Task: wire.RefOf(o.id), Size: o.spec.GetSize(), Kind: o.spec.GetKind(),
+		Domain: o.domain, Urgent: o.spec.GetUrgent(), Team: o.spec.GetTeam(),
+	}))
+	if err != nil {
+		return spar.ReasonNoAnswer
+	}
+	if !a.Msg.GetReserved() {
+		return spar.Reason(a.Msg.GetReason())
+	}
+	return spar.ReasonNone
+}
+
+// claim makes the attempt a fact. A claim that is not read back in time may
+// still land; the agent's home entry then finds it missing and runs it.
+func (p *Planner) claim(ctx context.Context, o *offer) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	a, err := p.tail.Append(ctx, &wire.Record{By: p.name, Body: &wire.Record_Claim{Claim: &wire.Claim{
+		Task: wire.RefOf(o.id), Worker: o.worker, Session: o.session,
+	}}})
+	if err != nil {
+		p.blocked(o, spar.ReasonLogDown)
+		return false
+	}
+	if !a.Outcome.IsValid() {
+		p.Add(o.id.Task(), "claim void", a.Outcome.Reason(), o.worker)
+		return false
+	}
+	return true
+}
+
+// run tells the agent to start. A refusal is for good and closes the attempt.
+func (p *Planner) run(ctx context.Context, o *offer) {
+	answer, ok := p.send(ctx, o)
+	if !ok || !answer.GetRefused() {
+		return
+	}
+	p.Add(o.id.Task(), "run refused", spar.Reason(answer.GetReason()), o.worker)
+	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	_, err := p.tail.Append(ctx, &wire.Record{By: p.name, Body: &wire.Record_Evict{Evict: &wire.Evict{
+		Task: wire.RefOf(o.id), Reason: answer.GetReason(),
+	}}})
+	if err != nil {
+		p.Warn("refused attempt not closed", "task", o.id, "err", err)
+	}
+}
+
+func (p *Planner) send(ctx context.Context, o *offer) (*wire.RunAnswer, bool) {
+	ctx, cancel := context.WithTimeout(ctx, runLimit)
+	defer cancel()
+	c, ok := p.client(o.worker)
+	if !ok {
+		return nil, false
+	}
+	a, err := c.Run(ctx, connect.NewRequest(&wire.RunRequest{
+		Session: o.session, Task: wire.RefOf(o.id), Spec: o.spec, Checkpoint: o.checkpoint, ProgressMs: o.progressMS,
+	}))
+	if err != nil {
+		p.Warn("run not answered", "task", o.id, "worker", o.worker, "err", err)
+		return nil, false
+	}
+	return a.Msg, true
+}
+
+// Lost is told of claimed tasks that their agent does not name. What stays
+// missing is sent again: a run is idempotent.
+func (p *Planner) Lost(ctx context.Context, session string, missing []spar.TaskID) {
+	now := time.Now()
+	var again []spar.TaskID
+	p.mu.Lock()
+	for id, at := range p.lost {
+		if now.Sub(at) > 4*lostAfter {
+			delete(p.lost, id)
+		}
+	}
+	for _, id := range missing {
+		at, ok := p.lost[id]
+		switch {
+		case !ok:
+			p.lost[id] = now
+		case now.Sub(at) > lostAfter:
+			again = append(again, id)
+			p.lost[id] = now
+		}
+	}
+	p.mu.Unlock()
+	for _, id := range again {
+		if o := p.offerOf(session, id); o != nil {
+			p.Add(id.Task(), "run sent again", spar.ReasonNoAnswer, o.worker)
+			p.running.Go(func() { p.run(ctx, o) })
+		}
+	}
+}
+
+// offerOf returns the offer of a claimed attempt, or nil when it was closed.
+func (p *Planner) offerOf(session string, id spar.TaskID) *offer {
+	var o *offer
+	p.tail.View(func(f *fold.State) {
+		if !f.IsRunning(session, id) {
+			return
+		}
+		j := f.Job(id.Job)
+		t := j.Task(int(id.Index))
+		o = &offer{id: id, spec: j.Spec(), checkpoint: t.Checkpoint(), progressMS: t.ProgressMS(), session: session, worker: t.Worker()}
+	})
+	return o
+}
--- /dev/null
+++ b/entry/rules/rules.go
@@ -0,0 +1,48 @@
+// Package rules keeps the configuration that the entry goes by.
+package rules
+
+import (
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fold"
+	"github.com/berylspar/spar/tail"
+)
+
+// Rules hold the newest configuration. Reading takes no lock.
+type Rules struct {
+	common.Common
+	holder deploy.Holder
+}
+
+// NewRules returns rules that follow a tail.
+func NewRules(c common.Common, t *tail.Tail) *Rules {
+	r := &Rules{Common: c}
+	f := t.Config()
+	r.take(f.Revision(), f.Body())
+	t.Listen(func(_ *fold.State, a tail.Applied) {
+		if a.Record.GetConfigure() != nil && a.Outcome.IsValid() {
+			r.take(a.Record.GetConfigure().GetBase()+1, a.Record.GetConfigure().GetBody())
+		}
+		if k := a.Record.GetCarry().GetConfig(); k != nil && a.Outcome.IsValid() {
+			r.take(k.GetRevision(), k.GetBody())
+		}
+	})
+	return r
+}
+
+func (r *Rules) take(revision int64, body []byte) {
+	if revision == 0 {
+		return
+	}
+	c, err := deploy.Parse(body)
+	if err != nil {
+		r.Warn("configuration not readable", "revision", revision, "err", err)
+		return
+	}
+	if r.holder.Raise(&deploy.Revision{Configuration: c, Number: revision}) {
+		r.Info("configuration in force", "revision", revision)
+	}
+}
+
+// Load returns the newest configuration.
+func (r *Rules) Load() *deploy.Revision { return r.holder.Load() }
--- a/fold/apply.go
+++ b/fold/apply.go
@@ -104,7 +104,7 @@
 	}
 	switch b := r.GetBody().(type) {
 	case *wire.Record_Submit:
-		return s.submit(r.GetId(), b.Submit)
+		return s.submit(offset, r.GetId(), b.Submit)
 	case *wire.Record_Claim:
 		return s.claim(b.Claim)
 	case *wire.Record_End:
@@ -165,6 +165,9 @@
 	if o.settled {
 		return void(spar.ReasonDuplicate)
 	}
+	if !bytes.Equal(o.id, c.GetHolder()) {
+		return void(spar.ReasonKeyTaken)
+	}
 	if c.GetNotRun() {
 		delete(s.onces, c.GetKey())
 		return valid()
@@ -176,19 +179,13 @@
 	return valid()
 }
 
-// forget drops a fact that no longer matters. A live job is never dropped.
+// forget drops a fact that is over. A live one is never dropped.
 func (s *State) forget(f *wire.Forget) Outcome {
 	fact := f.GetFact()
 	if fact == ConfigFact || !s.has(fact) {
 		return void(spar.ReasonUnknownFact)
 	}
-	if j := s.jobs[fact[2:]]; fact[0] == 'j' && !j.IsEnded() {
-		return void(spar.ReasonWrongPhase)
-	}
-	if fact[0] == 'f' && !s.fences[fact[2:]].lapsed {
-		return void(spar.ReasonWrongPhase)
-	}
-	if fact[0] == 'm' && s.members[fact[2:]].IsLive() {
+	if !s.IsOver(fact) {
 		return void(spar.ReasonWrongPhase)
 	}
 	s.drop(fact)
--- a/fold/job.go
+++ b/fold/job.go
@@ -8,6 +8,7 @@
 	spec      *wire.Spec
 	tasks     []Task
 	cancelled bool
+	submitted int64
 	counts    [phases]int
 }
 
@@ -38,12 +39,15 @@
 	return j.counts[p]
 }
 
-func newJob(id []byte, s *wire.Spec) *Job {
-	return &Job{id: id, spec: s, tasks: make([]Task, s.GetTasks())}
+// Submitted is the offset of the record that submitted the job.
+func (j *Job) Submitted() int64 { return j.submitted }
+
+func newJob(id []byte, offset int64, s *wire.Spec) *Job {
+	return &Job{id: id, submitted: offset, spec: s, tasks: make([]Task, s.GetTasks())}
 }
 
 func (j *Job) fact() *wire.JobFact {
-	f := &wire.JobFact{Spec: j.spec, Cancelled: j.cancelled, Id: j.id}
+	f := &wire.JobFact{Spec: j.spec, Cancelled: j.cancelled, Id: j.id, Submitted: j.submitted}
 	for i := range j.tasks {
 		f.Tasks = append(f.Tasks, j.tasks[i].fact())
 	}
@@ -51,7 +55,7 @@
 }
 
 func jobOf(f *wire.JobFact) *Job {
-	j := &Job{id: f.GetId(), spec: f.GetSpec(), cancelled: f.GetCancelled()}
+	j := &Job{id: f.GetId(), spec: f.GetSpec(), cancelled: f.GetCancelled(), submitted: f.GetSubmitted()}
 	for _, t := range f.GetTasks() {
 		j.tasks = append(j.tasks, taskOf(t))
 	}
--- a/fold/jobs.go
+++ b/fold/jobs.go
@@ -7,7 +7,7 @@
 	"github.com/berylspar/spar/wire"
 )
 
-func (s *State) submit(id []byte, c *wire.Spec) Outcome {
+func (s *State) submit(offset int64, id []byte, c *wire.Spec) Outcome {
 	if c.GetTasks() == 0 || c.GetTasks() > MaxTasks || c.GetSize() == nil {
 		return void(spar.ReasonInvalid)
 	}
@@ -17,7 +17,7 @@
 	if s.jobs[c.GetJob()] != nil {
 		return void(spar.ReasonDuplicate)
 	}
-	j := newJob(bytes.Clone(id), c)
+	j := newJob(bytes.Clone(id), offset, c)
 	s.jobs[c.GetJob()] = j
 	s.index.add(j)
 	return valid()
@@ -75,11 +75,8 @@
 		s.index.move(j, i, wire.Phase_PHASE_DONE)
 		return valid()
 	}
-	// Crashes in a row on one worker speak of the worker, not of the task.
-	if t.crashedOn != t.worker {
-		t.failures++
-		t.crashedOn = t.worker
-	}
+	t.failures++
+	t.crashedOn = t.worker
 	switch {
 	case !j.spec.GetRepeatable() && t.checkpoint == "":
 		s.index.move(j, i, wire.Phase_PHASE_UNKNOWN)
--- a/fold/state.go
+++ b/fold/state.go
@@ -164,3 +164,26 @@
 	}
 	return j, &j.tasks[r.GetIndex()]
 }
+
+// IsOld tells whether a fact can be known from no record at or after an offset.
+func (s *State) IsOld(fact string, offset int64) bool {
+	m := s.marks[fact]
+	return m != nil && m.kept < offset
+}
+
+// IsOver tells whether a fact may be forgotten: nothing can still come of it.
+func (s *State) IsOver(fact string) bool {
+	if fact == ConfigFact || !s.has(fact) {
+		return false
+	}
+	id := fact[2:]
+	switch fact[0] {
+	case 'j':
+		return s.jobs[id].IsEnded()
+	case 'f':
+		return s.fences[id].lapsed
+	case 'm':
+		return !s.members[id].IsLive()
+	}
+	return true
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -17,9 +17,9 @@
 	revoked  bool
 }
 
-// Renewed records an answer: sent is when its question was sent, length the
-// lease that it grants, and age how old the answerer's knowledge was.
-func (h *Holder) Renewed(sent time.Time, length, age time.Duration) {
+// Renewed records a grant: sent is when its question was sent, and length the
+// lease that it grants.
+func (h *Holder) Renewed(sent time.Time, length time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.revoked {
@@ -28,12 +28,9 @@
 	if d := sent.Add(length); d.After(h.deadline) {
 		h.deadline = d
 	}
-	if k := sent.Add(-age); k.After(h.known) {
-		h.known = k
-	}
 }
 
-// Learnt records knowledge without a lease.
+// Learnt records knowledge that was of an age when the question arrived.
 func (h *Holder) Learnt(sent time.Time, age time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/reason.go
+++ b/reason.go
@@ -49,4 +49,6 @@
 	ReasonPlatformRefused Reason = "platform-refused"
 	ReasonRestart         Reason = "agent-restarted"
 	ReasonPreempted       Reason = "urgent-work"
+	ReasonEjected         Reason = "fails-too-often"
+	ReasonBudget          Reason = "retry-budget-spent"
 )
--- /dev/null
+++ b/route/router.go
@@ -0,0 +1,215 @@
+// Package route picks a backend server for a request: power of d choices on
+// fresh load, the near failure domain first, without backends that fail. The
+// path of a request reads an immutable table and atomics only.
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/wire"
+	"github.com/valyala/fasthttp"
+)
+
+// Policy is how a backend is picked.
+type Policy string
+
+// The policies. All but Choices are baselines to measure against.
+const (
+	Choices Policy = "choices"
+	Random  Policy = "random"
+	Rotate  Policy = "round-robin"
+	Least   Policy = "least-in-flight"
+)
+
+const (
+	// choices is the d of power of d choices.
+	choices = 3
+	// maxOut is the share of a service's backends that may be ejected, as a
+	// divisor.
+	maxOut = 3
+)
+
+// Seen is a backend that announced itself.
+type Seen struct {
+	Worker  string
+	Address string
+	Domain  string
+	Service string
+	Load    *wire.Load
+}
+
+// Router picks backends.
+type Router struct {
+	near   string
+	far    time.Duration
+	policy Policy
+	dial   func(address string) *fasthttp.HostClient
+	table  atomic.Pointer[table]
+	turn   atomic.Uint64
+	ejects atomic.Int64
+
+	mu  sync.Mutex
+	all map[string]*Backend
+}
+
+// table holds the backends of each service. It never changes.
+type table struct {
+	services map[string][]*Backend
+}
+
+// NewRouter returns a router in a failure domain; far is the extra time to
+// another domain and back. dial makes the client of a backend.
+func NewRouter(near string, far time.Duration, p Policy, dial func(address string) *fasthttp.HostClient) *Router {
+	r := &Router{near: near, far: far, policy: p, dial: dial, all: map[string]*Backend{}}
+	r.table.Store(&table{})
+	return r
+}
+
+// Update replaces the backends. Those known before keep what was learnt.
+func (r *Router) Update(seen []Seen, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := &table{services: map[string][]*Backend{}}
+	kept := map[string]*Backend{}
+	for _, s := range seen {
+		b := r.backend(s, now)
+		kept[s.Worker] = b
+		if !s.Load.GetLeaving() {
+			next.services[s.Service] = append(next.services[s.Service], b)
+		}
+	}
+	r.all = kept
+	r.table.Store(next)
+}
+
+func (r *Router) backend(s Seen, now time.Time) *Backend {
+	b := r.all[s.Worker]
+	if b != nil && b.address == s.Address && b.service == s.Service {
+		// A load that rode on an answer is fresher than one of a digest.
+		if b.own.Load() == 0 {
+			b.Report(s.Load)
+		}
+		b.leaving.Store(s.Load.GetLeaving())
+		return b
+	}
+	b = &Backend{worker: s.Worker, address: s.Address, domain: s.Domain, service: s.Service, Client: r.dial(s.Address)}
+	if len(r.table.Load().services[s.Service]) > 0 {
+		b.returned.Store(now.UnixNano())
+	}
+	b.Report(s.Load)
+	return b
+}
+
+// Pick returns a backend of a service that is not among those tried, and the
+// expected time until its answer; nil when there is none.
+func (r *Router) Pick(service string, tried []*Backend, now time.Time) (*Backend, time.Duration) {
+	all := r.table.Load().services[service]
+	if len(all) == 0 {
+		return nil, 0
+	}
+	switch r.policy {
+	case Random:
+		return r.baseline(all, tried, rand.IntN(len(all)), now)
+	case Rotate:
+		return r.baseline(all, tried, int(r.turn.Add(1)%uint64(len(all))), now)
+	case Least:
+		return r.best(all, tried, len(all), now, func(b *Backend) time.Duration { return time.Duration(b.own.Load()) })
+	}
+	return r.best(all, tried, choices, now, func(b *Backend) time.Duration { return b.expect(now, r.distance(b)) })
+}
+
+// baseline walks from a place on to the first backend that was not tried.
+func (r *Router) baseline(all, tried []*Backend, from int, now time.Time) (*Backend, time.Duration) {
+	for i := range all {
+		b := all[(from+i)%len(all)]
+		if !slices.Contains(tried, b) && !b.leaving.Load() {
+			return b, b.expect(now, 0)
+		}
+	}
+	return nil, 0
+}
+
+// best samples n backends that may be used, and returns the one of least cost.
+func (r *Router) best(all, tried []*Backend, n int, now time.Time, cost func(*Backend) time.Duration) (*Backend, time.Duration) {
+	var best *Backend
+	var least time.Duration
+	start, step := rand.IntN(len(all)), stride(len(all))
+	for i, found := 0, 0; i < len(all) && found < n; i++ {
+		b := all[(start+i*step)%len(all)]
+		if b.leaving.Load() || r.policy == Choices && b.isEjected(now) || slices.Contains(tried, b) {
+			continue
+		}
+		found++
+		if c := cost(b); best == nil || c < least {
+			best, least = b, c
+		}
+	}
+	if best != nil && best.until.Load() != 0 {
+		best.probing.Store(true)
+	}
+	return best, least
+}
+
+// stride returns a random step that visits all of n places.
+func stride(n int) int {
+	if n < 3 {
+		return 1
+	}
+	for {
+		s := 1 + rand.IntN(n-1)
+		if gcd(s, n) == 1 {
+			return s
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+func (r *Router) distance(b *Backend) time.Duration {
+	if b.domain == r.near {
+		return 0
+	}
+	return r.far
+}
+
+// Done counts an answer of a backend, and ejects a backend that fails, unless
+// too many of its service are out.
+func (r *Router) Done(b *Backend, now time.Time, ok bool) spar.Reason {
+	b.End(now, ok)
+	again := b.until.Load() != 0
+	if ok || b.fails.Load() < ejectAfter && !again {
+		return spar.ReasonNone
+	}
+	if !again && r.out(b.service, now) >= max(len(r.table.Load().services[b.service])/maxOut, 1) {
+		return spar.ReasonNone
+	}
+	b.eject(now)
+	r.ejects.Add(1)
+	return spar.ReasonEjected
+}
+
+func (r *Router) out(service string, now time.Time) int {
+	n := 0
+	for _, b := range r.table.Load().services[service] {
+		if b.until.Load() != 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Ejects counts the ejections.
+func (r *Router) Ejects() int64 { return r.ejects.Load() }
+
+// Len is the number of backends of a service.
+func (r *Router) Len(service string) int { return len(r.table.Load().services[service]) }
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -33,10 +33,11 @@
 	appends   atomic.Int64
 	retries   atomic.Int64
 	oldest    atomic.Int64
-	listeners []func(Applied)
+	listeners []func(*fold.State, Applied)
+	onFresh   func(*fold.State, time.Time)
 }
 
-// Applied tells a listener of one folded record.
+// Applied is one folded record.
 type Applied struct {
 	Offset  int64
 	Record  *wire.Record
@@ -55,8 +56,14 @@
 }
 
 // Listen adds a function that is called for each folded record, in order, with
-// the fold locked. It must be called before Run and must not block.
-func (t *Tail) Listen(f func(Applied)) { t.listeners = append(t.listeners, f) }
+// the fold as it is after the record. It must be called before Run; it must
+// neither block nor call the tail.
+func (t *Tail) Listen(f func(*fold.State, Applied)) { t.listeners = append(t.listeners, f) }
+
+// OnFresh sets a function that is called after each read that reached the head,
+// with the fold locked and the moment that the read was sent. The same rules
+// hold as for Listen.
+func (t *Tail) OnFresh(f func(s *fold.State, sent time.Time)) { t.onFresh = f }
 
 // Run follows the log until the context ends. It reports ErrGone when it fell
 // behind retention.
@@ -137,11 +144,20 @@
 	t.oldest.Store(page.Oldest)
 	next := t.apply(page.Entries)
 	if next >= page.Head || len(page.Entries) == 0 && from >= page.Head {
-		t.freshAt.Store(&sent)
+		t.freshen(sent)
 	}
 	return nil
 }
 
+func (t *Tail) freshen(sent time.Time) {
+	if t.onFresh != nil {
+		t.mu.Lock()
+		t.onFresh(t.state, sent)
+		t.mu.Unlock()
+	}
+	t.freshAt.Store(&sent)
+}
+
 func (t *Tail) apply(entries []spar.Entry) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -167,7 +183,7 @@
 
 func (t *Tail) told(a Applied) {
 	for _, f := range t.listeners {
-		f(a)
+		f(t.state, a)
 	}
 	id := string(a.Record.GetId())
 	p := t.waiting[id]
