The whole path runs as separate processes

make try brings up the stand-in, 3 entries and 11 agents, sends requests and jobs, closes a domain and opens it again.

--- a/Makefile
+++ b/Makefile
@@ -1,2 +1,19 @@
+PROGRAMS := entry agent beryl stand load prove
+SAMPLES  := naem clip
+MODULES  := . agent beryl entry load prove sample/clip sample/naem stand
+
+.PHONY: help try test lint gen build bench proof slopes
+
+help: ## list the targets
+	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/^([a-z]+):.*## /  \1\t/'
+
+build: ## build all programs into bin
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
+	@for p in $(SAMPLES); do go build -o bin/$$p ./sample/$$p || exit 1; done
+
+try: build ## bring up a small deployment, use it, and print a report
+	@exec bin/prove try
+
 gen: ## regenerate the code from wire/wire.proto
 	protoc -I wire --go_out=wire --go_opt=paths=source_relative --connect-go_out=wire --connect-go_opt=paths=source_relative --connect-go_opt=package_suffix="" wire/wire.proto
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -20,7 +21,11 @@
 // Schema returns the JSON schema of T. The struct's jsonschema tags hold the
 // limits and the descriptions.
 func Schema[T any](title string) []byte {
-	r := jsonschema.Reflector{Anonymous: true, ExpandedStruct: true, RequiredFromJSONSchemaTags: true, DoNotReference: true}
+	r := jsonschema.Reflector{
+		Anonymous: true, ExpandedStruct: true, RequiredFromJSONSchemaTags: true, DoNotReference: true,
+		// Settings of several packages share their type's name.
+		Namer: func(t reflect.Type) string { return strings.ReplaceAll(t.PkgPath(), "/", ".") + "." + t.Name() },
+	}
 	var zero T
 	s := r.Reflect(&zero)
 	s.Title = title
--- a/entry/app/daemon.go
+++ b/entry/app/daemon.go
@@ -59,7 +59,7 @@
 // daemon is a whole entry.
 type daemon struct {
 	common.Common
-	parts
+	parts parts
 }
 
 func newDaemon(p parts) *daemon { return &daemon{Common: p.Base.Common, parts: p} }
@@ -67,7 +67,7 @@
 // run serves until the context ends, then stops by plan: readiness goes off,
 // the balancer gets time to see it, and requests in progress are finished.
 func (d *daemon) run(ctx context.Context) error {
-	defer d.Base.Close(context.WithoutCancel(ctx))
+	defer d.parts.Base.Close(context.WithoutCancel(ctx))
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	serving, stopServing := context.WithCancel(work)
@@ -77,11 +77,11 @@
 		return err
 	}
 	d.listenFresh()
-	followed := d.Tail.Run(work)
+	followed := d.parts.Tail.Run(work)
 	watchers, stopWatching := context.WithCancel(work)
 	defer stopWatching()
-	loops := []<-chan error{d.routes(work), d.Peers.Run(watchers), d.Watch.Run(watchers)}
-	planned := d.Planner.Run(work)
+	loops := []<-chan error{d.routes(work), d.parts.Peers.Run(watchers), d.parts.Watch.Run(watchers)}
+	planned := d.parts.Planner.Run(work)
 	err = d.live(ctx, work, followed)
 	if ctx.Err() != nil {
 		d.drain(work, stopWatching)
@@ -96,7 +96,7 @@
 	for _, e := range loops {
 		<-e
 	}
-	d.Info("entry ended", "session", d.Name)
+	d.Info("entry ended", "session", d.parts.Name)
 	return err
 }
 
@@ -115,11 +115,11 @@
 		case err := <-registered:
 			if err == nil {
 				d.Health.SetReady(true)
-				d.Info("entry ready", "session", d.Name, "listen", d.Settings.Listen, "control", d.Settings.Control)
+				d.Info("entry ready", "session", d.parts.Name, "listen", d.parts.Settings.Listen, "control", d.parts.Settings.Control)
 			}
 		case <-tick.C:
-			if d.View.IsExpelled() {
-				d.Warn("expelled by another entry", "session", d.Name)
+			if d.parts.View.IsExpelled() {
+				d.Warn("expelled by another entry", "session", d.parts.Name)
 				return errExpelled
 			}
 		}
@@ -127,43 +127,43 @@
 }
 
 func (d *daemon) register(ctx context.Context) error {
-	for d.Tail.FreshAt().IsZero() {
+	for d.parts.Tail.FreshAt().IsZero() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(freshPoll):
 		}
 	}
-	return d.Peers.Register(ctx)
+	return d.parts.Peers.Register(ctx)
 }
 
 // listenFresh feeds the view with each read that reached the head of the log,
 // after what it brought was folded.
 func (d *daemon) listenFresh() {
-	d.Tail.OnFresh(func(f *fold.State, sent time.Time) {
-		d.View.Folded(f, time.Now())
-		d.View.Read(sent)
+	d.parts.Tail.OnFresh(func(f *fold.State, sent time.Time) {
+		d.parts.View.Folded(f, time.Now())
+		d.parts.View.Read(sent)
 	})
 }
 
 func (d *daemon) serve(ctx context.Context) ([]<-chan error, error) {
-	callers, err := net.Listen("tcp", d.Settings.Listen)
+	callers, err := net.Listen("tcp", d.parts.Settings.Listen)
 	if err != nil {
 		return nil, err
 	}
-	control, err := net.Listen("tcp", d.Settings.Control)
+	control, err := net.Listen("tcp", d.parts.Settings.Control)
 	if err != nil {
 		return nil, errors.CombineErrors(err, callers.Close())
 	}
-	operators, err := net.Listen("tcp", d.Settings.Admin)
+	operators, err := net.Listen("tcp", d.parts.Settings.Admin)
 	if err != nil {
 		return nil, errors.CombineErrors(err, errors.CombineErrors(callers.Close(), control.Close()))
 	}
 	m := http.NewServeMux()
-	m.Handle(wire.NewEntryHandler(d.Server))
+	m.Handle(wire.NewEntryHandler(d.parts.Server))
 	o := router.New()
-	common.Endpoints(o, d.Health, d.Base.Reporter)
-	d.Admin.Operators(o)
+	common.Endpoints(o, d.Health, d.parts.Base.Reporter)
+	d.parts.Admin.Operators(o)
 	return []<-chan error{
 		common.ServeFast(ctx, callers, d.callers(), hops.MaxBody),
 		common.ServeRPC(ctx, control, m),
@@ -174,11 +174,11 @@
 // callers serves requests that name a service, and the jobs of teams.
 func (d *daemon) callers() fasthttp.RequestHandler {
 	r := router.New()
-	d.Admin.Jobs(r)
-	r.NotFound = d.Front.Handle
+	d.parts.Admin.Jobs(r)
+	r.NotFound = d.parts.Front.Handle
 	return func(c *fasthttp.RequestCtx) {
 		if len(c.Request.Header.Peek(hops.Service)) > 0 {
-			d.Front.Handle(c)
+			d.parts.Front.Handle(c)
 			return
 		}
 		r.Handler(c)
@@ -197,7 +197,7 @@
 				done <- nil
 				return
 			case now := <-tick.C:
-				d.Router.Update(d.seen(now), now)
+				d.parts.Router.Update(d.seen(now), now)
 			}
 		}
 	}()
@@ -205,9 +205,9 @@
 }
 
 func (d *daemon) seen(now time.Time) []route.Seen {
-	c := d.Rules.Load()
+	c := d.parts.Rules.Load()
 	var out []route.Seen
-	for _, a := range d.Table.All(now) {
+	for _, a := range d.parts.Table.All(now) {
 		s := a.State()
 		if !s.GetReady() || s.GetLeaving() || now.Sub(a.Heard()) > routeSilence || !c.IsOpen(s.GetDomain()) {
 			continue
@@ -221,15 +221,15 @@
 func (d *daemon) drain(ctx context.Context, stopWatching context.CancelFunc) {
 	d.Info("stopping by plan")
 	d.Health.SetReady(false)
-	d.Planner.Leave()
-	d.Server.Leave()
+	d.parts.Planner.Leave()
+	d.parts.Server.Leave()
 	stopWatching()
 	limit, cancel := context.WithTimeout(ctx, drainTime)
 	defer cancel()
-	d.Peers.Goodbye(limit)
-	time.Sleep(time.Duration(d.Settings.GraceMS) * time.Millisecond)
-	for d.Front.InFlight() > 0 && limit.Err() == nil {
+	d.parts.Peers.Goodbye(limit)
+	time.Sleep(time.Duration(d.parts.Settings.GraceMS) * time.Millisecond)
+	for d.parts.Front.InFlight() > 0 && limit.Err() == nil {
 		time.Sleep(drainPoll)
 	}
-	d.Front.Settle(limit)
+	d.parts.Front.Settle(limit)
 }
--- /dev/null
+++ b/load/drive/driver.go
@@ -0,0 +1,149 @@
+// Package drive sends requests at a fixed rate. A request that waits to be sent
+// counts from the moment it was due, so that a slow system can't hide behind a
+// generator that waits for it.
+package drive
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/berylspar/spar/hops"
+	"github.com/valyala/fasthttp"
+)
+
+// kind tells how a request ended.
+type kind int
+
+const (
+	broken kind = iota
+	done
+	notRun
+	unknown
+	failed
+	crossed
+)
+
+type outcome struct {
+	kind   kind
+	reason string
+}
+
+const (
+	// slack is how long beyond its deadline an answer is waited for.
+	slack       = 500 * time.Millisecond
+	maxInFlight = 20_000
+)
+
+// Driver sends the requests of a run.
+type Driver struct {
+	settings Settings
+	clients  []*fasthttp.HostClient
+	run      string
+	sent     atomic.Int64
+}
+
+// NewDriver returns a driver.
+func NewDriver(s Settings) *Driver {
+	d := &Driver{settings: s, run: token()}
+	for _, t := range s.Targets {
+		d.clients = append(d.clients, &fasthttp.HostClient{
+			Addr: t, MaxConns: maxInFlight, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		})
+	}
+	return d
+}
+
+func token() string {
+	var b [6]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err)
+	}
+	return hex.EncodeToString(b[:])
+}
+
+// Run sends requests until its time is over or the context ends, and returns
+// the report once all have ended.
+func (d *Driver) Run(ctx context.Context) Report {
+	t := newTally()
+	var all sync.WaitGroup
+	began := time.Now()
+	end := began.Add(time.Duration(d.settings.DurationMS) * time.Millisecond)
+	gap := time.Second / time.Duration(d.settings.PerSecond)
+	for n := 0; ctx.Err() == nil; n++ {
+		due := began.Add(time.Duration(n) * gap)
+		if due.After(end) {
+			break
+		}
+		time.Sleep(time.Until(due))
+		all.Go(func() {
+			o := d.Send(n)
+			t.add(o, time.Since(due))
+		})
+	}
+	all.Wait()
+	return t.end()
+}
+
+// Send sends the request of a number and checks that the answer is its own.
+func (d *Driver) Send(n int) outcome {
+	key := d.run + "-" + strconv.Itoa(n)
+	body := make([]byte, 0, d.settings.BodyBytes+len(key))
+	body = append(body, key...)
+	for len(body) < d.settings.BodyBytes {
+		body = append(body, byte('a'+n%26))
+	}
+	req := fasthttp.AcquireRequest()
+	res := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	c := d.clients[n%len(d.clients)]
+	req.SetRequestURI("http://" + c.Addr + "/work")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBodyRaw(body)
+	d.head(req, key)
+	err := c.DoTimeout(req, res, time.Duration(d.settings.DeadlineMS)*time.Millisecond+slack)
+	return d.judge(res, err, body)
+}
+
+func (d *Driver) head(req *fasthttp.Request, key string) {
+	if d.settings.Direct {
+		req.Header.Set(hops.BackendRequest, key)
+		return
+	}
+	req.Header.Set(hops.Service, d.settings.Service)
+	req.Header.Set(hops.Deadline, strconv.FormatInt(d.settings.DeadlineMS, 10))
+	if d.settings.Keyed {
+		req.Header.Set(hops.Key, key)
+		return
+	}
+	if d.settings.Repeatable {
+		req.Header.Set(hops.Repeatable, "yes")
+	}
+}
+
+func (d *Driver) judge(res *fasthttp.Response, err error, body []byte) outcome {
+	if err != nil {
+		return outcome{kind: broken, reason: err.Error()}
+	}
+	reason := string(res.Header.Peek(hops.Reason))
+	switch string(res.Header.Peek(hops.Outcome)) {
+	case hops.NotRun:
+		return outcome{kind: notRun, reason: reason}
+	case hops.Unknown:
+		return outcome{kind: unknown, reason: reason}
+	}
+	if res.StatusCode() >= fasthttp.StatusInternalServerError {
+		return outcome{kind: failed}
+	}
+	if !bytes.Equal(res.Body(), body) {
+		return outcome{kind: crossed}
+	}
+	return outcome{kind: done}
+}
--- /dev/null
+++ b/load/main.go
@@ -0,0 +1,11 @@
+// Command load sends requests at a fixed rate and reports the latency that
+// callers see, waiting included.
+package main
+
+import (
+	"os"
+
+	"github.com/berylspar/spar/load/app"
+)
+
+func main() { os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/prove/app/main.go
@@ -0,0 +1,76 @@
+// Package app runs the commands of prove.
+package app
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/berylspar/spar/common"
+	"github.com/cockroachdb/errors"
+)
+
+// Options are what every command is told.
+type Options struct {
+	// Bin is the folder of the built programs.
+	Bin string
+	// Out is the folder for pictures and tables.
+	Out string
+	// Quick makes a short run of a long command.
+	Quick bool
+}
+
+type command struct {
+	name  string
+	about string
+	run   func(ctx context.Context, o Options, out io.Writer) error
+}
+
+func commands() []command {
+	return []command{
+		{"try", "bring up a small deployment, use it, close a domain and open it again, and report", try},
+	}
+}
+
+// Main runs a command and returns its exit code.
+func Main(args []string, out, errs io.Writer) int {
+	flags := flag.NewFlagSet("prove", flag.ContinueOnError)
+	flags.SetOutput(errs)
+	var o Options
+	flags.StringVar(&o.Bin, "bin", "bin", "`folder` of the built programs")
+	flags.StringVar(&o.Out, "out", "out", "`folder` for pictures and tables")
+	flags.BoolVar(&o.Quick, "quick", false, "make a short run")
+	flags.Usage = func() {
+		fmt.Fprint(errs, "prove brings up a deployment of real processes on this machine and reports.\n\nUsage: prove [flags] COMMAND\n\n")
+		for _, c := range commands() {
+			fmt.Fprintf(errs, "  %-8s %s\n", c.name, c.about)
+		}
+		flags.PrintDefaults()
+	}
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return common.ExitDone
+		}
+		return common.ExitUsage
+	}
+	for _, c := range commands() {
+		if flags.NArg() == 1 && flags.Arg(0) == c.name {
+			return run(c, o, out, errs)
+		}
+	}
+	flags.Usage()
+	return common.ExitUsage
+}
+
+func run(c command, o Options, out, errs io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := c.run(ctx, o, out); err != nil {
+		fmt.Fprintf(errs, "prove %s: %v\n", c.name, err)
+		return common.ExitFailed
+	}
+	return common.ExitDone
+}
--- /dev/null
+++ b/prove/stage/beryl.go
@@ -0,0 +1,110 @@
+package stage
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const settleLimit = 15 * time.Second
+
+// Beryl runs the operators' command line against the deployment.
+func (s *Stage) Beryl(ctx context.Context, args ...string) (string, error) {
+	var admins []string
+	for _, e := range s.entries {
+		admins = append(admins, e.Admin)
+	}
+	all := append([]string{"-platform", "http://" + s.platform, "-entries", strings.Join(admins, ",")}, args...)
+	out, err := exec.CommandContext(ctx, filepath.Join(s.plan.Bin, "beryl"), all...).CombinedOutput()
+	return string(out), errors.Wrapf(err, "beryl %s: %s", strings.Join(args, " "), out)
+}
+
+// Configure publishes what a sample program prints, and waits until all agents
+// hold it.
+func (s *Stage) Configure(ctx context.Context, sample string) error {
+	out, err := exec.CommandContext(ctx, filepath.Join(s.plan.Bin, sample)).Output()
+	if err != nil {
+		return errors.Wrapf(err, "%s", sample)
+	}
+	return s.Publish(ctx, out)
+}
+
+// Publish publishes a configuration, and waits until all agents hold it.
+func (s *Stage) Publish(ctx context.Context, configuration []byte) error {
+	path := filepath.Join(s.dir, "configuration.json")
+	if err := os.WriteFile(path, configuration, 0o600); err != nil {
+		return err
+	}
+	if _, err := s.Beryl(ctx, "publish", path); err != nil {
+		return err
+	}
+	return s.AllReady(ctx)
+}
+
+// AllReady waits until each entry knows all agents and holds them for ready.
+func (s *Stage) AllReady(ctx context.Context) error {
+	for _, e := range s.entries {
+		err := Until(ctx, settleLimit, "agents known to "+e.Name, func() bool {
+			var f struct {
+				Agents int      `json:"agents"`
+				Behind []string `json:"behind"`
+			}
+			_, err := Call(ctx, "http://"+e.Admin+"/v1/force", nil, &f)
+			return err == nil && f.Agents >= len(s.agents) && len(f.Behind) == 0
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Listens are the addresses that callers send to.
+func (s *Stage) Listens() []string {
+	var out []string
+	for _, e := range s.entries {
+		out = append(out, e.Listen)
+	}
+	return out
+}
+
+// Backends are the addresses of the backend servers.
+func (s *Stage) Backends() []string {
+	var out []string
+	for _, a := range s.agents {
+		out = append(out, a.Backend)
+	}
+	return out
+}
+
+// Submit submits a job through an entry.
+func (s *Stage) Submit(ctx context.Context, entry int, job, kind string, tasks int, run time.Duration) error {
+	body := map[string]any{"job": job, "kind": kind, "tasks": tasks, "run_ms": run.Milliseconds()}
+	_, err := Call(ctx, "http://"+s.entries[entry].Listen+"/v1/jobs", body, &struct{}{})
+	return err
+}
+
+// Job is what an entry tells of a job.
+type Job struct {
+	Ended bool `json:"ended"`
+	Done  int  `json:"done"`
+	Tasks []struct {
+		Index   int    `json:"index"`
+		Phase   string `json:"phase"`
+		Attempt uint32 `json:"attempt"`
+		Worker  string `json:"worker"`
+		Reason  string `json:"reason"`
+	} `json:"tasks"`
+}
+
+// Job asks an entry for a job.
+func (s *Stage) Job(ctx context.Context, entry int, job string) (Job, error) {
+	var j Job
+	_, err := Call(ctx, "http://"+s.entries[entry].Admin+"/v1/jobs/"+job, nil, &j)
+	return j, err
+}
--- /dev/null
+++ b/prove/stage/check.go
@@ -0,0 +1,92 @@
+package stage
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/berylspar/spar/stand/work"
+)
+
+// Closure is a time in which a domain was closed, on the platform's clock.
+type Closure struct {
+	Domain string
+	From   time.Duration
+	// To is 0 while it is closed.
+	To time.Duration
+}
+
+// ClosedAfter is the time after which no task may start in a closed domain.
+const ClosedAfter = 3 * time.Second
+
+// Breaches holds the platform's record against what must always hold, and
+// returns each breach.
+func Breaches(r work.Report, closures []Closure) []string {
+	out := append([]string{}, overlaps(r)...)
+	for _, w := range r.Over {
+		out = append(out, "committed beyond its size: "+w)
+	}
+	for k, n := range r.Keys {
+		if n > 1 {
+			out = append(out, fmt.Sprintf("request %s ran %d times", k, n))
+		}
+	}
+	for _, c := range closures {
+		out = append(out, startsIn(r, c)...)
+	}
+	return out
+}
+
+// overlaps finds tasks in two places at once, and tasks done twice.
+func overlaps(r work.Report) []string {
+	var out []string
+	byTask := map[string][]work.Run{}
+	for _, n := range r.Runs {
+		byTask[n.ID.Task()] = append(byTask[n.ID.Task()], n)
+	}
+	for task, runs := range byTask {
+		done := 0
+		for i, a := range runs {
+			if a.How == "done" {
+				done++
+			}
+			for _, b := range runs[i+1:] {
+				if a.Start < end(b, r) && b.Start < end(a, r) {
+					out = append(out, fmt.Sprintf("task %s ran as attempt %d on %s and attempt %d on %s at once", task, a.ID.Attempt, a.Worker, b.ID.Attempt, b.Worker))
+				}
+			}
+		}
+		if done > 1 {
+			out = append(out, fmt.Sprintf("task %s was done %d times", task, done))
+		}
+	}
+	return out
+}
+
+func end(n work.Run, r work.Report) time.Duration {
+	if n.End == 0 {
+		return r.Now
+	}
+	return n.End
+}
+
+func startsIn(r work.Report, c Closure) []string {
+	var out []string
+	for _, n := range r.Runs {
+		late := n.Start > c.From+ClosedAfter && (c.To == 0 || n.Start < c.To)
+		if n.Domain == c.Domain && late {
+			out = append(out, fmt.Sprintf("task %s started on %s, %s after domain %s was closed", n.ID, n.Worker, n.Start-c.From, c.Domain))
+		}
+	}
+	return out
+}
+
+// Count returns the runs that ended in a way.
+func Count(r work.Report, how string) int {
+	n := 0
+	for _, x := range r.Runs {
+		if x.How == how {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/prove/stage/client.go
@@ -0,0 +1,103 @@
+package stage
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/berylspar/spar/stand/logs"
+	"github.com/berylspar/spar/stand/work"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	callLimit = 10 * time.Second
+	readyPoll = 10 * time.Millisecond
+)
+
+// Call sends a request with a JSON body, or a GET where in is nil, and decodes
+// the answer into out, which may be nil. It returns the status.
+func Call(ctx context.Context, url string, in, out any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	method, body := http.MethodGet, io.Reader(nil)
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		method, body = http.MethodPost, bytes.NewReader(data)
+	}
+	q, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return 0, err
+	}
+	res, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil || out == nil {
+		return res.StatusCode, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return res.StatusCode, errors.Newf("%s: status %d: %s", url, res.StatusCode, data)
+	}
+	return res.StatusCode, json.Unmarshal(data, out)
+}
+
+// Ready waits until the daemon with an operators' address is ready.
+func (s *Stage) Ready(ctx context.Context, admin string) error {
+	return Until(ctx, readyLimit, "ready: "+admin, func() bool {
+		status, err := Call(ctx, "http://"+admin+"/readyz", nil, nil)
+		return err == nil && status == http.StatusOK
+	})
+}
+
+// Until polls a condition until it holds, or fails after a limit.
+func Until(ctx context.Context, limit time.Duration, what string, ok func() bool) error {
+	end := time.Now().Add(limit)
+	for !ok() {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if time.Now().After(end) {
+			return errors.Newf("not within %s: %s", limit, what)
+		}
+		time.Sleep(readyPoll)
+	}
+	return nil
+}
+
+func (s *Stage) startStand(ctx context.Context) error {
+	if err := s.Start("stand", "stand"); err != nil {
+		return err
+	}
+	return Until(ctx, readyLimit, "stand-in", func() bool {
+		status, err := Call(ctx, "http://"+s.platform+"/healthz", nil, nil)
+		return err == nil && status == http.StatusOK
+	})
+}
+
+// Truth returns the stand-in's own record of what ran where and when.
+func (s *Stage) Truth(ctx context.Context) (work.Report, error) {
+	var r work.Report
+	_, err := Call(ctx, "http://"+s.platform+"/truth", nil, &r)
+	return r, err
+}
+
+// LogFaults sets what goes wrong with the log.
+func (s *Stage) LogFaults(ctx context.Context, f logs.Faults) error {
+	_, err := Call(ctx, "http://"+s.platform+"/faults/log", f, nil)
+	return err
+}
+
+// WorkerFaults sets what goes wrong on a worker.
+func (s *Stage) WorkerFaults(ctx context.Context, worker string, f work.Faults) error {
+	_, err := Call(ctx, "http://"+s.platform+"/faults/workers/"+worker, f, nil)
+	return err
+}
--- /dev/null
+++ b/prove/stage/settings.go
@@ -0,0 +1,59 @@
+package stage
+
+import "maps"
+
+// batchShare is the share of a worker that batch work may use, as a fraction.
+const (
+	batchShare = 3
+	batchWhole = 4
+)
+
+func (s *Stage) standSettings() map[string]any {
+	var workers []map[string]any
+	for _, a := range s.agents {
+		workers = append(workers, map[string]any{
+			"name": a.Worker, "domain": a.Domain, "backend": a.Backend,
+			"cpu_milli": s.plan.Processors * 1000, "memory_mb": s.plan.MemoryMB,
+		})
+	}
+	return map[string]any{
+		"listen": s.platform, "appends_per_second": s.plan.Appends, "retain_ms": s.plan.RetainMS,
+		"service_us": s.plan.ServiceUS, "slots": s.plan.Slots, "workers": workers,
+	}
+}
+
+func (s *Stage) entrySettings(e *Entry) map[string]any {
+	var peers []string
+	for _, o := range s.entries {
+		if o != e {
+			peers = append(peers, s.via(e.Name, o.Name, o.Control))
+		}
+	}
+	out := map[string]any{
+		"name": e.Name, "domain": e.Domain, "listen": e.Listen, "control": e.Control, "admin": e.Admin,
+		"platform": "http://" + s.via(e.Name, "log", s.platform), "grace_ms": 300,
+	}
+	if len(peers) > 0 {
+		out["peers"] = peers
+	}
+	maps.Copy(out, s.plan.Entry)
+	return out
+}
+
+func (s *Stage) agentSettings(a *Agent) map[string]any {
+	var entries []string
+	for _, e := range s.entries {
+		entries = append(entries, s.via(a.Worker, e.Name, e.Control))
+	}
+	out := map[string]any{
+		"worker": a.Worker, "domain": a.Domain, "service": s.plan.Service, "listen": a.Listen, "control": a.Control,
+		"admin": a.Admin, "platform": "http://" + s.via(a.Worker, "platform", s.platform), "backend": s.via(a.Worker, "backend", a.Backend),
+		"entries": entries, "slots": s.plan.Slots,
+		"size": map[string]any{
+			"cpu_milli": s.plan.Processors * 1000 * batchShare / batchWhole,
+			"memory_mb": s.plan.MemoryMB * batchShare / batchWhole,
+		},
+	}
+	maps.Copy(out, s.plan.Agent)
+	return out
+}
--- /dev/null
+++ b/prove/stage/stage.go
@@ -0,0 +1,242 @@
+// Package stage brings up a deployment of real processes on this machine: the
+// stand-in, entries and agents. It ends only processes that it started.
+package stage
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Plan is the deployment to bring up.
+type Plan struct {
+	// Bin is the folder of the built programs.
+	Bin string
+	// Dir is where settings and logs go; empty for a temporary folder.
+	Dir     string
+	Domains []string
+	Entries int
+	Workers int
+	Service string
+	// Processors and MemoryMB are a worker's whole size; batch work may use
+	// three quarters of it.
+	Processors int64
+	MemoryMB   int64
+	ServiceUS  int64
+	Slots      int
+	RetainMS   int64
+	Appends    int64
+	// Entry and Agent are changed fields of the settings.
+	Entry map[string]any
+	Agent map[string]any
+	// Via returns the address to use in place of a process's own; tests put a
+	// proxy there. Nil uses the own one.
+	Via func(from, to, address string) string
+}
+
+// Stage is a deployment that runs.
+type Stage struct {
+	plan     Plan
+	dir      string
+	temp     bool
+	platform string
+	mu       sync.Mutex
+	procs    map[string]*Proc
+	entries  []*Entry
+	agents   []*Agent
+	configs  map[string]string
+}
+
+// Entry is where an entry is reached.
+type Entry struct {
+	Name, Listen, Control, Admin, Domain string
+}
+
+// Agent is where an agent is reached.
+type Agent struct {
+	Worker, Listen, Control, Admin, Backend, Domain string
+}
+
+const readyLimit = 15 * time.Second
+
+// Open brings up a deployment and waits until all of it answers.
+func Open(ctx context.Context, p Plan) (*Stage, error) {
+	s := &Stage{plan: p, dir: p.Dir, procs: map[string]*Proc{}, configs: map[string]string{}}
+	if s.dir == "" {
+		dir, err := os.MkdirTemp("", "berylspar")
+		if err != nil {
+			return nil, err
+		}
+		s.dir, s.temp = dir, true
+	}
+	if err := s.open(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Stage) open(ctx context.Context) error {
+	if err := s.layout(); err != nil {
+		return err
+	}
+	if err := s.startStand(ctx); err != nil {
+		return err
+	}
+	for _, e := range s.entries {
+		if err := s.Start("entry", e.Name); err != nil {
+			return err
+		}
+	}
+	for _, a := range s.agents {
+		if err := s.Start("agent", a.Worker); err != nil {
+			return err
+		}
+	}
+	for _, e := range s.entries {
+		if err := s.Ready(ctx, e.Admin); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// layout chooses addresses and writes the settings.
+func (s *Stage) layout() error {
+	ports, err := freePorts(1 + 3*s.plan.Entries + 4*s.plan.Workers)
+	if err != nil {
+		return err
+	}
+	next := func() string {
+		a := ports[0]
+		ports = ports[1:]
+		return a
+	}
+	s.platform = next()
+	for i := range s.plan.Entries {
+		s.entries = append(s.entries, &Entry{Name: fmt.Sprintf("entry-%d", i+1), Listen: next(), Control: next(), Admin: next(), Domain: s.domain(i)})
+	}
+	for i := range s.plan.Workers {
+		s.agents = append(s.agents, &Agent{Worker: fmt.Sprintf("worker-%d", i+1), Listen: next(), Control: next(), Admin: next(), Backend: next(), Domain: s.domain(i)})
+	}
+	return s.writeAll()
+}
+
+func (s *Stage) domain(i int) string { return s.plan.Domains[i%len(s.plan.Domains)] }
+
+func (s *Stage) via(from, to, address string) string {
+	if s.plan.Via == nil {
+		return address
+	}
+	return s.plan.Via(from, to, address)
+}
+
+func (s *Stage) writeAll() error {
+	if err := s.write("stand", s.standSettings()); err != nil {
+		return err
+	}
+	for _, e := range s.entries {
+		if err := s.write(e.Name, s.entrySettings(e)); err != nil {
+			return err
+		}
+	}
+	for _, a := range s.agents {
+		if err := s.write(a.Worker, s.agentSettings(a)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Stage) write(name string, settings map[string]any) error {
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(s.dir, name+".json")
+	s.configs[name] = path
+	return os.WriteFile(path, data, 0o600)
+}
+
+// freePorts returns addresses on the loopback interface that nobody listens on.
+func freePorts(n int) ([]string, error) {
+	var out []string
+	var all []net.Listener
+	defer func() {
+		for _, l := range all {
+			l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Entries are the entries of the deployment.
+func (s *Stage) Entries() []*Entry { return s.entries }
+
+// Agents are the agents of the deployment.
+func (s *Stage) Agents() []*Agent { return s.agents }
+
+// Platform is the address of the stand-in.
+func (s *Stage) Platform() string { return s.platform }
+
+// Close ends all processes, by plan first, and removes a temporary folder.
+func (s *Stage) Close() error {
+	s.mu.Lock()
+	procs := make([]*Proc, 0, len(s.procs))
+	for _, p := range s.procs {
+		procs = append(procs, p)
+	}
+	s.mu.Unlock()
+	var all sync.WaitGroup
+	for _, p := range procs {
+		all.Go(func() { p.End() })
+	}
+	all.Wait()
+	if s.temp {
+		return os.RemoveAll(s.dir)
+	}
+	return nil
+}
+
+// Proc returns a process by name: stand, entry-N or worker-N.
+func (s *Stage) Proc(name string) *Proc {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.procs[name]
+}
+
+// Start starts a program under a name, with the settings of that name.
+func (s *Stage) Start(program, name string) error {
+	p, err := startProc(filepath.Join(s.plan.Bin, program), filepath.Join(s.dir, name+".log"), "-settings", s.configs[name])
+	if err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	s.mu.Lock()
+	s.procs[name] = p
+	s.mu.Unlock()
+	return nil
+}
+
+// Log returns what a process wrote, for a report of a failure.
+func (s *Stage) Log(name string) string {
+	data, err := os.ReadFile(filepath.Join(s.dir, name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
