--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,11 @@
 
 gen: ## regenerate the code from wire/wire.proto
 	protoc -I wire --go_out=wire --go_opt=paths=source_relative --connect-go_out=wire --connect-go_opt=paths=source_relative --connect-go_opt=package_suffix="" wire/wire.proto
+
+LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+test: build ## run all tests
+	@for m in $(MODULES); do (cd $$m && go test -count=1 -timeout 15m ./...) || exit 1; done
+
+lint: ## check formatting and the linter's set
+	@for m in $(MODULES); do (cd $$m && go run $(LINTER) run ./...) || exit 1; done
--- a/beryl/cmds/follow.go
+++ b/beryl/cmds/follow.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/berylspar/spar/deploy"
-	"github.com/berylspar/spar/fold"
 	"github.com/berylspar/spar/plat"
 	"github.com/berylspar/spar/tail"
 	"github.com/cockroachdb/errors"
@@ -22,11 +20,14 @@
 // function.
 func (r *Runner) follow(ctx context.Context) (*tail.Tail, func(), error) {
 	log := plat.NewLog(r.target.Platform)
-	page, err := log.Read(ctx, math.MaxInt64, 0)
+	state, err := tail.Boot(ctx, log, deploy.CheckBody)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "log at %s", r.target.Platform)
 	}
-	t := tail.NewTail(tail.DefaultSettings(), log, fold.NewState(page.Oldest, deploy.CheckBody))
+	if state == nil {
+		return nil, nil, errors.Newf("log at %s: holds no snapshot to begin with; is an entry running?", r.target.Platform)
+	}
+	t := tail.NewTail(tail.DefaultSettings(), log, state)
 	life, cancel := context.WithCancel(ctx)
 	done := t.Run(life)
 	end := func() {
--- a/common/trace.go
+++ b/common/trace.go
@@ -23,10 +23,10 @@
 func NewTracer(ctx context.Context, s Settings, w io.Writer, program, name string) (trace.Tracer, func(context.Context) error, error) {
 	var exporter sdktrace.SpanExporter
 	var err error
-	switch {
-	case s.Trace == "":
+	switch s.Trace {
+	case "":
 		return noop.NewTracerProvider().Tracer(program), func(context.Context) error { return nil }, nil
-	case s.Trace == "stdout":
+	case "stdout":
 		exporter, err = stdouttrace.New(stdouttrace.WithWriter(w))
 	default:
 		exporter, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(strings.TrimSuffix(s.Trace, "/")+"/v1/traces"))
--- a/entry/app/build.go
+++ b/entry/app/build.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
 	"time"
 
@@ -37,6 +36,9 @@
 const (
 	startLimit = 2 * time.Second
 	startPause = 200 * time.Millisecond
+	// bootTries is how often an entry looks for a snapshot, at a peer or on
+	// the log, before it takes the state for lost.
+	bootTries = 50
 )
 
 // session runs an entry under one name.
@@ -87,7 +89,7 @@
 	return watch.NewWatch(c, s.Watch, string(n), s.Terms, l, v, a, p)
 }
 
-func newFront(c common.Common, s Settings, n sessionName, l *tail.Tail, r *rules.Rules, o *route.Router, b *common.Base) *front.Front {
+func newFront(c common.Common, s Settings, n sessionName, l *tail.Tail, r *rules.Rules, o *route.Router) *front.Front {
 	return front.NewFront(c, s.Front, string(n), l, r, o, func() bool { return r.Load().Number > 0 && !l.FreshAt().IsZero() })
 }
 
@@ -100,33 +102,44 @@
 	return admin.NewAdmin(c, string(n), s.Terms, s.TeamKeys, l, a, p, r, planner)
 }
 
-// firstState takes a snapshot from a peer, or else begins at the oldest record
-// that the log keeps.
+// firstState takes a snapshot from a peer, or else what the log holds.
 func firstState(ctx context.Context, c common.Common, s Settings, l spar.Log) (*fold.State, error) {
 	client := common.NewRPCClient()
-	for ctx.Err() == nil {
-		page, err := bounds(ctx, l)
+	for tries := 0; ctx.Err() == nil; tries++ {
+		oldest, _, err := bounds(ctx, l)
 		if err != nil {
 			c.Warn("log not available", "err", err)
 			pause(ctx)
 			continue
 		}
 		for _, p := range s.Peers {
-			if f := snapshot(ctx, client, p); f != nil && f.Next() >= page.Oldest {
+			if f := snapshot(ctx, client, p); f != nil && f.Next() >= oldest {
 				c.Info("took a snapshot", "peer", p, "offset", f.Next())
 				return f, nil
 			}
 		}
-		c.Info("begins at the oldest record", "offset", page.Oldest)
-		return fold.NewState(page.Oldest, deploy.CheckBody), nil
+		f, err := tail.Boot(ctx, l, deploy.CheckBody)
+		switch {
+		case err != nil:
+			c.Warn("log not readable", "err", err)
+		case f != nil:
+			c.Info("begins with the log", "offset", f.Next())
+			return f, nil
+		case tries >= bootTries:
+			// No entry was there for longer than the log keeps records, so no
+			// lease is alive either.
+			c.Warn("state lost: the log holds no snapshot and its first records are gone", "oldest", oldest)
+			return fold.NewState(oldest, deploy.CheckBody), nil
+		}
+		pause(ctx)
 	}
 	return nil, errors.Wrap(ctx.Err(), "stopped before the log was read")
 }
 
-func bounds(ctx context.Context, l spar.Log) (spar.Page, error) {
+func bounds(ctx context.Context, l spar.Log) (oldest, head int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	return l.Read(ctx, math.MaxInt64, 0)
+	return tail.Bounds(ctx, l)
 }
 
 func snapshot(ctx context.Context, client *http.Client, peer string) *fold.State {
--- a/entry/rules/rules.go
+++ b/entry/rules/rules.go
@@ -23,9 +23,6 @@
 		if a.Record.GetConfigure() != nil && a.Outcome.IsValid() {
 			r.take(a.Record.GetConfigure().GetBase()+1, a.Record.GetConfigure().GetBody())
 		}
-		if k := a.Record.GetCarry().GetConfig(); k != nil && a.Outcome.IsValid() {
-			r.take(k.GetRevision(), k.GetBody())
-		}
 	})
 	return r
 }
--- a/entry/watch/watch.go
+++ b/entry/watch/watch.go
@@ -1,9 +1,10 @@
 // Package watch gives up on agents and entries that are silent, ends the waits
-// of fences, and carries old facts over the log's retention.
+// of fences, and keeps a snapshot on the log that retention has not passed over.
 package watch
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -25,7 +26,7 @@
 	// ExpelMS is the silence after which an entry is expelled.
 	ExpelMS int64 `json:"expel_ms" jsonschema:"minimum=1000,maximum=600000,description=silence after which an entry is expelled in ms"`
 	// RetainMS is how long the log keeps a record.
-	RetainMS int64 `json:"retain_ms" jsonschema:"minimum=2000,description=time that the log keeps a record in ms; live facts are carried at half of it"`
+	RetainMS int64 `json:"retain_ms" jsonschema:"minimum=2000,description=time that the log keeps a record in ms; a snapshot goes on the log at a third of it"`
 	// KeepMS is how long what has ended can still be asked for.
 	KeepMS int64 `json:"keep_ms" jsonschema:"minimum=1000,description=time that ended jobs and settled requests are remembered in ms"`
 }
@@ -39,8 +40,8 @@
 const (
 	every       = 200 * time.Millisecond
 	appendLimit = 5 * time.Second
-	carryEvery  = time.Second
-	maxCarry    = 200
+	keepEvery   = time.Second
+	maxForget   = 200
 )
 
 // Watch is the loop.
@@ -57,14 +58,19 @@
 	fencedAt map[string]time.Time
 	busy     map[string]time.Time
 	offsets  offsets
+	// snapped is when the last piece of a snapshot was read, in ns.
+	snapped   atomic.Int64
+	snapAgain time.Time
 }
 
 // NewWatch returns the loop of the entry with a session name.
 func NewWatch(c common.Common, s Settings, name string, t lease.Terms, l *tail.Tail, v *member.View, a *agents.Table, p *peers.Peers) *Watch {
-	return &Watch{
+	w := &Watch{
 		Common: c, settings: s, name: name, terms: t, tail: l, view: v, table: a, peers: p,
 		started: time.Now(), fencedAt: map[string]time.Time{}, busy: map[string]time.Time{},
 	}
+	l.Listen(w.applied)
+	return w
 }
 
 // Run watches until the context ends.
@@ -73,7 +79,7 @@
 	go func() {
 		tick := time.NewTicker(every)
 		defer tick.Stop()
-		carried := time.Now()
+		kept := time.Now()
 		for {
 			select {
 			case <-ctx.Done():
@@ -81,9 +87,9 @@
 				return
 			case now := <-tick.C:
 				w.step(ctx, now)
-				if now.Sub(carried) >= carryEvery {
-					w.carry(ctx, now)
-					carried = now
+				if now.Sub(kept) >= keepEvery {
+					w.keep(ctx, now)
+					kept = now
 				}
 			}
 		}
@@ -177,8 +183,10 @@
 		}
 	}
 	r.By = w.name
-	w.Add(subject, what, reason, "")
-	w.Info(what, "subject", subject, "reason", reason)
+	if reason != spar.ReasonNone {
+		w.Add(subject, what, reason, "")
+		w.Info(what, "subject", subject, "reason", reason)
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, appendLimit)
 		defer cancel()
--- a/fold/apply.go
+++ b/fold/apply.go
@@ -37,23 +37,16 @@
 }
 
 func (s *State) one(offset int64, r *wire.Record) Outcome {
-	if c := r.GetCarry(); c != nil {
-		return s.carry(offset, r.GetBy(), c)
+	if r.GetPart() != nil {
+		return valid()
 	}
 	fact := FactOf(r)
 	if fact == "" {
 		return void(spar.ReasonInvalid)
 	}
-	known := s.has(fact)
 	o := s.body(offset, r)
-	m := s.marks[fact]
-	if m == nil {
-		m = &mark{}
-		s.marks[fact] = m
-	}
-	m.mentioned = offset
-	if o.IsValid() && (!known || fact == ConfigFact) {
-		m.kept = offset
+	if o.IsValid() && s.has(fact) {
+		s.touched[fact] = offset
 	}
 	return o
 }
@@ -169,7 +162,7 @@
 		return void(spar.ReasonKeyTaken)
 	}
 	if c.GetNotRun() {
-		delete(s.onces, c.GetKey())
+		s.drop(OnceFact(c.GetKey()))
 		return valid()
 	}
 	o.settled = true
--- a/fold/mark.go
+++ b/fold/fact.go
@@ -14,14 +14,3 @@
 
 // OnceFact is the key of a request's fact.
 func OnceFact(key string) string { return "o/" + key }
-
-// mark tells where on the log a fact was named.
-type mark struct {
-	// mentioned is the offset of the newest record that names the fact, valid
-	// or void, other than a Carry. A reader that never knew the fact has it
-	// too, so all readers agree on which Carry is stale.
-	mentioned int64
-	// kept is the offset of the newest record from which the whole fact can
-	// be known: its first one, or a valid Carry.
-	kept int64
-}
--- a/fold/facts.go
+++ b/fold/facts.go
@@ -103,3 +103,19 @@
 func (c Config) fact() *wire.ConfigFact {
 	return &wire.ConfigFact{Revision: c.revision, Body: c.body, Author: c.author, Id: c.id}
 }
+
+func fenceOf(f *wire.FenceFact) *Fence {
+	return &Fence{session: f.GetSession(), worker: f.GetWorker(), reason: f.GetReason(), lapsed: f.GetLapsed()}
+}
+
+func memberOf(f *wire.MemberFact) *Member {
+	return &Member{entry: f.GetEntry(), address: f.GetAddress(), departed: f.GetDeparted(), expelled: f.GetExpelled(), registered: f.GetRegistered()}
+}
+
+func onceOf(f *wire.OnceFact) *Once {
+	return &Once{key: f.GetKey(), id: f.GetId(), settled: f.GetSettled(), status: f.GetStatus(), body: f.GetBody(), truncated: f.GetTruncated()}
+}
+
+func configOf(f *wire.ConfigFact) Config {
+	return Config{revision: f.GetRevision(), body: f.GetBody(), author: f.GetAuthor(), id: f.GetId()}
+}
--- /dev/null
+++ b/fold/fold_test.go
@@ -0,0 +1,248 @@
+package fold
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/wire"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+// gen draws records about few names, so that they collide.
+type gen struct {
+	t     *rapid.T
+	state *State
+	n     int
+}
+
+func (g *gen) name(kind string, n int) string {
+	return fmt.Sprintf("%s%d", kind, rapid.IntRange(1, n).Draw(g.t, kind))
+}
+
+func (g *gen) ref() *wire.TaskRef {
+	r := &wire.TaskRef{Job: g.name("j", 3), Index: uint32(rapid.IntRange(0, 2).Draw(g.t, "index"))}
+	if _, t := g.state.task(r); t != nil {
+		r.Attempt = t.attempt + uint32(rapid.IntRange(0, 1).Draw(g.t, "attempt"))
+	}
+	return r
+}
+
+func (g *gen) record() *wire.Record {
+	g.n++
+	r := &wire.Record{Id: fmt.Appendf(nil, "r%d", g.n), By: g.name("e", 3)}
+	switch rapid.IntRange(0, 16).Draw(g.t, "body") {
+	case 0, 1:
+		r.Body = &wire.Record_Submit{Submit: &wire.Spec{Job: g.name("j", 3), Team: "t", Tasks: uint32(rapid.IntRange(0, 3).Draw(g.t, "tasks")), Size: &wire.Size{CpuMilli: 100}, Repeatable: rapid.Bool().Draw(g.t, "repeatable")}}
+	case 2, 3, 4:
+		r.Body = &wire.Record_Claim{Claim: &wire.Claim{Task: g.ref(), Worker: "w", Session: g.name("s", 3)}}
+	case 5:
+		r.Body = &wire.Record_End{End: &wire.End{Task: g.ref(), Ok: rapid.Bool().Draw(g.t, "ok")}}
+	case 6, 7:
+		r.Body = &wire.Record_Evict{Evict: &wire.Evict{Task: g.ref(), Checkpoint: g.name("c", 9), ProgressMs: int64(g.n)}}
+	case 8:
+		r.Body = &wire.Record_Cancel{Cancel: &wire.Cancel{Job: g.name("j", 3)}}
+	case 9:
+		r.Body = &wire.Record_Fence{Fence: &wire.Fence{Session: g.name("s", 3)}}
+	case 10:
+		r.Body = &wire.Record_Lapse{Lapse: &wire.Lapse{Session: g.name("s", 3)}}
+	case 11:
+		r.Body = &wire.Record_Register{Register: &wire.Register{Entry: g.name("e", 3)}}
+	case 12:
+		r.Body = &wire.Record_Expel{Expel: &wire.Expel{Entry: g.name("e", 3)}}
+	case 13:
+		r.Body = &wire.Record_Configure{Configure: &wire.Configure{Base: g.state.config.revision - int64(rapid.IntRange(0, 1).Draw(g.t, "behind")), Body: []byte("{}")}}
+	case 14:
+		r.Body = &wire.Record_Once{Once: &wire.Once{Key: g.name("k", 2)}}
+	case 15:
+		s := &wire.Settle{Key: g.name("k", 2), Status: 200, NotRun: rapid.Bool().Draw(g.t, "not run")}
+		if o := g.state.onces[s.Key]; o != nil {
+			s.Holder = o.id
+		}
+		r.Body = &wire.Record_Settle{Settle: s}
+	case 16:
+		r.Body = &wire.Record_Forget{Forget: &wire.Forget{Fact: JobFact(g.name("j", 3))}}
+	}
+	return r
+}
+
+// claims follows who may run what, by the rule alone.
+type claims struct {
+	open   map[string]uint32
+	newest map[string]uint32
+	ended  map[string]bool
+}
+
+// check holds a valid record against the rule: one open attempt a task, numbers
+// that only rise, and nothing after the end.
+func (c *claims) check(t *rapid.T, r *wire.Record, s *State) {
+	if k := r.GetClaim(); k != nil {
+		id := k.GetTask().ID()
+		if n, ok := c.open[id.Task()]; ok {
+			t.Fatalf("claim of %s is valid while attempt %d is open", id, n)
+		}
+		if id.Attempt <= c.newest[id.Task()] || c.ended[id.Task()] {
+			t.Fatalf("claim of %s is valid after attempt %d, ended %v", id, c.newest[id.Task()], c.ended[id.Task()])
+		}
+		c.open[id.Task()], c.newest[id.Task()] = id.Attempt, id.Attempt
+		return
+	}
+	if e := r.GetEnd(); e != nil {
+		delete(c.open, e.GetTask().ID().Task())
+		c.ended[e.GetTask().ID().Task()] = e.GetOk()
+	}
+	if e := r.GetEvict(); e != nil {
+		delete(c.open, e.GetTask().ID().Task())
+	}
+	if l := r.GetLapse(); l != nil {
+		if f, ok := s.Fence(l.GetSession()); !ok || !f.IsLapsed() {
+			t.Fatalf("lapse of %s is valid without a fence", l.GetSession())
+		}
+		for task := range c.open {
+			c.dropClosed(task, s)
+		}
+	}
+	if f := r.GetForget(); f != nil {
+		c.forget(f.GetFact(), s)
+	}
+}
+
+func (c *claims) dropClosed(task string, s *State) {
+	for _, id := range s.Jobs() {
+		j := s.Job(id)
+		for i := range j.Len() {
+			n := j.Task(i)
+			if key := (spar.TaskID{Job: id, Index: uint32(i)}).Task(); key == task && n.Phase() != wire.Phase_PHASE_RUNNING {
+				delete(c.open, task)
+			}
+		}
+	}
+}
+
+func (c *claims) forget(fact string, _ *State) {
+	for i := range uint32(3) {
+		key := spar.TaskID{Job: fact[2:], Index: i}.Task()
+		delete(c.open, key)
+		delete(c.newest, key)
+		delete(c.ended, key)
+	}
+}
+
+func TestOneOpenAttemptATask(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState(0, nil)
+		g := &gen{t: t, state: s}
+		c := &claims{open: map[string]uint32{}, newest: map[string]uint32{}, ended: map[string]bool{}}
+		revision := int64(0)
+		for i := range int64(rapid.IntRange(1, 120).Draw(t, "records")) {
+			r := g.record()
+			if o := s.Apply(i, []*wire.Record{r})[0]; o.IsValid() {
+				c.check(t, r, s)
+			}
+			if s.config.revision < revision {
+				t.Fatalf("revision went from %d to %d", revision, s.config.revision)
+			}
+			revision = s.config.revision
+		}
+	})
+}
+
+// A reader of a snapshot agrees with one that read everything, on each record
+// after it and on the whole state.
+func TestReadersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := NewState(0, nil)
+		g := &gen{t: t, state: whole}
+		n := rapid.IntRange(2, 80).Draw(t, "records")
+		at := int64(rapid.IntRange(0, n-1).Draw(t, "snapshot"))
+		var late *State
+		for i := range int64(n) {
+			r := g.record()
+			if i == at {
+				late = Restore(roundTrip(t, whole.Snapshot()), nil)
+			}
+			a := whole.Apply(i, []*wire.Record{r})[0]
+			if late == nil {
+				continue
+			}
+			if b := late.Apply(i, []*wire.Record{r})[0]; a != b {
+				t.Fatalf("record %d: %q for the whole reader, %q for the late one", i, a.Reason(), b.Reason())
+			}
+		}
+		if a, b := whole.Snapshot(), late.Snapshot(); !proto.Equal(a, b) {
+			t.Fatalf("whole reader %v, late reader %v", a, b)
+		}
+	})
+}
+
+func roundTrip(t *rapid.T, n *wire.Snapshot) *wire.Snapshot {
+	data, err := proto.Marshal(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out wire.Snapshot
+	if err := proto.Unmarshal(data, &out); err != nil {
+		t.Fatal(err)
+	}
+	return &out
+}
+
+func TestIndexFollowsJobs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState(0, nil)
+		g := &gen{t: t, state: s}
+		for i := range int64(rapid.IntRange(1, 100).Draw(t, "records")) {
+			s.Apply(i, []*wire.Record{g.record()})
+		}
+		running, usage := 0, spar.Size{}
+		for _, id := range s.Jobs() {
+			j := s.Job(id)
+			running += j.Count(wire.Phase_PHASE_RUNNING)
+			for i := range j.Len() {
+				n := j.Task(i)
+				if n.Phase() == wire.Phase_PHASE_RUNNING {
+					usage = usage.Add(j.Spec().GetSize().Spar())
+					if !s.IsRunning(n.Session(), spar.TaskID{Job: id, Index: uint32(i), Attempt: n.Attempt()}) {
+						t.Fatalf("task %s/%d is not in the index", id, i)
+					}
+				}
+			}
+		}
+		indexed := 0
+		for _, k := range s.Sessions() {
+			indexed += len(s.Running(k))
+		}
+		if indexed != running || s.Usage("t") != usage {
+			t.Fatalf("%d tasks run and %d are indexed; usage %s and %s", running, indexed, usage, s.Usage("t"))
+		}
+	})
+}
+
+// FuzzApply feeds the fold whatever can be decoded: it must neither panic nor
+// accept a record without a fact.
+func FuzzApply(f *testing.F) {
+	seed := &wire.Batch{Records: []*wire.Record{
+		{Id: []byte("a"), Body: &wire.Record_Submit{Submit: &wire.Spec{Job: "j", Tasks: 2, Size: &wire.Size{CpuMilli: 1}}}},
+		{Id: []byte("b"), Body: &wire.Record_Claim{Claim: &wire.Claim{Task: &wire.TaskRef{Job: "j", Attempt: 1}, Session: "s"}}},
+		{Id: []byte("c"), Body: &wire.Record_Part{Part: &wire.Part{Count: 1}}},
+		{Id: []byte("d"), Body: &wire.Record_Forget{Forget: &wire.Forget{Fact: "x"}}},
+	}}
+	data, err := proto.Marshal(seed)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{0xff, 0x01})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var b wire.Batch
+		if proto.Unmarshal(data, &b) != nil {
+			return
+		}
+		s := NewState(0, nil)
+		for i, r := range b.GetRecords() {
+			s.Apply(int64(i), []*wire.Record{r})
+		}
+		Restore(s.Snapshot(), nil)
+	})
+}
--- a/fold/snap.go
+++ b/fold/snap.go
@@ -9,38 +9,57 @@
 
 // Snapshot returns the whole state, for a reader that starts.
 func (s *State) Snapshot() *wire.Snapshot {
-	out := &wire.Snapshot{Offset: s.next}
-	for _, k := range slices.Sorted(maps.Keys(s.marks)) {
-		m := s.marks[k]
-		out.Mentions = append(out.Mentions, &wire.Mention{Fact: k, Offset: m.mentioned, Kept: m.kept})
-		if c := s.Carry(k); c != nil {
-			out.Facts = append(out.Facts, c)
-		}
+	out := &wire.Snapshot{Offset: s.next, Config: s.config.fact()}
+	for _, k := range s.Jobs() {
+		out.Jobs = append(out.Jobs, s.jobs[k].fact())
+	}
+	for _, f := range s.Fences() {
+		out.Fences = append(out.Fences, f.fact())
+	}
+	for _, m := range s.Members() {
+		out.Members = append(out.Members, m.fact())
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.onces)) {
+		out.Onces = append(out.Onces, s.onces[k].fact())
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.touched)) {
+		out.Touches = append(out.Touches, &wire.Touch{Fact: k, Offset: s.touched[k]})
 	}
 	return out
 }
 
-// Restore returns the state that a snapshot holds.
+// Restore returns the state that a snapshot holds. Jobs that no fold could have
+// made are left out.
 func Restore(n *wire.Snapshot, check func(body []byte) error) *State {
-	s := NewState(0, check)
-	for _, c := range n.GetFacts() {
-		if matches(c) {
-			s.adopt(c)
+	s := NewState(n.GetOffset(), check)
+	s.config = configOf(n.GetConfig())
+	for _, f := range n.GetJobs() {
+		if isJob(f) {
+			j := jobOf(f)
+			s.jobs[j.spec.GetJob()] = j
+			s.index.add(j)
 		}
 	}
-	for _, m := range n.GetMentions() {
-		s.marks[m.GetFact()] = &mark{mentioned: m.GetOffset(), kept: m.GetKept()}
+	for _, f := range n.GetFences() {
+		s.fences[f.GetSession()] = fenceOf(f)
+	}
+	for _, f := range n.GetMembers() {
+		s.members[f.GetEntry()] = memberOf(f)
+	}
+	for _, f := range n.GetOnces() {
+		s.onces[f.GetKey()] = onceOf(f)
+	}
+	for _, t := range n.GetTouches() {
+		s.touched[t.GetFact()] = t.GetOffset()
 	}
-	s.next = n.GetOffset()
 	return s
 }
 
-// Prune drops the marks of unknown facts that were named before an offset;
-// no Carry that could be valid is older.
-func (s *State) Prune(before int64) {
-	for k, m := range s.marks {
-		if !s.has(k) && m.mentioned < before {
-			delete(s.marks, k)
+func isJob(f *wire.JobFact) bool {
+	for _, t := range f.GetTasks() {
+		if t.GetPhase() < 0 || t.GetPhase() >= phases {
+			return false
 		}
 	}
+	return f.GetSpec() != nil && len(f.GetTasks()) > 0 && len(f.GetTasks()) <= MaxTasks
 }
--- a/fold/state.go
+++ b/fold/state.go
@@ -10,14 +10,13 @@
 // State is the agreed state at an offset. One goroutine applies records; the
 // caller guards reads that happen meanwhile.
 type State struct {
-	first   int64
 	next    int64
 	config  Config
 	jobs    map[string]*Job
 	fences  map[string]*Fence
 	members map[string]*Member
 	onces   map[string]*Once
-	marks   map[string]*mark
+	touched map[string]int64
 	voids   int64
 	index   index
 	check   func(body []byte) error
@@ -27,9 +26,9 @@
 // configurations that no reader may accept; it must be a pure function.
 func NewState(first int64, check func(body []byte) error) *State {
 	return &State{
-		first: first, next: first, check: check, index: newIndex(),
+		next: first, check: check, index: newIndex(),
 		jobs: map[string]*Job{}, fences: map[string]*Fence{}, members: map[string]*Member{},
-		onces: map[string]*Once{}, marks: map[string]*mark{},
+		onces: map[string]*Once{}, touched: map[string]int64{},
 	}
 }
 
@@ -102,12 +101,12 @@
 	return *o, true
 }
 
-// Old returns the facts that can be known from no record at or after an
-// offset, in order; they must be carried before retention passes over them.
-func (s *State) Old(offset int64) []string {
+// Over returns the facts that may be forgotten and that no valid record at or
+// after an offset names, in order.
+func (s *State) Over(offset int64) []string {
 	var out []string
-	for k, m := range s.marks {
-		if s.has(k) && m.kept < offset {
+	for k, at := range s.touched {
+		if at < offset && s.IsOver(k) {
 			out = append(out, k)
 		}
 	}
@@ -115,15 +114,6 @@
 	return out
 }
 
-// LastMention is the offset of the newest record that names a fact.
-func (s *State) LastMention(fact string) int64 {
-	m := s.marks[fact]
-	if m == nil {
-		return -1
-	}
-	return m.mentioned
-}
-
 func (s *State) has(fact string) bool {
 	if fact == ConfigFact {
 		return s.config.revision > 0
@@ -143,6 +133,7 @@
 }
 
 func (s *State) drop(fact string) {
+	delete(s.touched, fact)
 	id := fact[2:]
 	switch fact[0] {
 	case 'j':
@@ -165,12 +156,6 @@
 	return j, &j.tasks[r.GetIndex()]
 }
 
-// IsOld tells whether a fact can be known from no record at or after an offset.
-func (s *State) IsOld(fact string, offset int64) bool {
-	m := s.marks[fact]
-	return m != nil && m.kept < offset
-}
-
 // IsOver tells whether a fact may be forgotten: nothing can still come of it.
 func (s *State) IsOver(fact string) bool {
 	if fact == ConfigFact || !s.has(fact) {
--- a/load/drive/driver.go
+++ b/load/drive/driver.go
@@ -10,7 +10,6 @@
 	"encoding/hex"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/berylspar/spar/hops"
@@ -45,7 +44,6 @@
 	settings Settings
 	clients  []*fasthttp.HostClient
 	run      string
-	sent     atomic.Int64
 }
 
 // NewDriver returns a driver.
--- a/route/router.go
+++ b/route/router.go
@@ -190,7 +190,7 @@
 	if ok || b.fails.Load() < ejectAfter && !again {
 		return spar.ReasonNone
 	}
-	if !again && r.out(b.service, now) >= max(len(r.table.Load().services[b.service])/maxOut, 1) {
+	if !again && r.out(b.service) >= max(len(r.table.Load().services[b.service])/maxOut, 1) {
 		return spar.ReasonNone
 	}
 	b.eject(now)
@@ -198,7 +198,7 @@
 	return spar.ReasonEjected
 }
 
-func (r *Router) out(service string, now time.Time) int {
+func (r *Router) out(service string) int {
 	n := 0
 	for _, b := range r.table.Load().services[service] {
 		if b.until.Load() != 0 {
--- /dev/null
+++ b/tail/boot.go
@@ -0,0 +1,122 @@
+package tail
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/fold"
+	"github.com/berylspar/spar/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// MaxPart is the most data of one piece of a snapshot, in bytes.
+const MaxPart = 32 << 10
+
+// Parts cuts a snapshot into records. They may be appended in any order.
+func Parts(by string, n *wire.Snapshot) ([]*wire.Record, error) {
+	data, err := proto.Marshal(n)
+	if err != nil {
+		return nil, err
+	}
+	id := NewID()
+	count := uint32((len(data) + MaxPart - 1) / MaxPart)
+	var out []*wire.Record
+	for i := range count {
+		piece := data[int(i)*MaxPart : min(int(i+1)*MaxPart, len(data))]
+		out = append(out, &wire.Record{Id: NewID(), By: by, Body: &wire.Record_Part{
+			Part: &wire.Part{Snapshot: id, Offset: n.GetOffset(), Index: i, Count: count, Data: piece},
+		}})
+	}
+	return out, nil
+}
+
+// Bounds returns the oldest and the next offset of the log.
+func Bounds(ctx context.Context, l spar.Log) (oldest, head int64, err error) {
+	p, err := l.Read(ctx, math.MaxInt64, 0)
+	return p.Oldest, p.Head, err
+}
+
+// Boot returns the state to begin with when the log's first records are no
+// longer kept: that of the newest whole snapshot on the log. It returns nil
+// when the log holds none.
+func Boot(ctx context.Context, l spar.Log, check func([]byte) error) (*fold.State, error) {
+	oldest, head, err := Bounds(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	if oldest == 0 {
+		return fold.NewState(0, check), nil
+	}
+	s := &scan{partial: map[string][]*wire.Part{}}
+	for from := oldest; from < head; {
+		p, err := l.Read(ctx, from, time.Millisecond)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range p.Entries {
+			s.entry(e, oldest)
+			from = e.Offset + 1
+		}
+		if len(p.Entries) == 0 {
+			break
+		}
+	}
+	if s.best == nil {
+		return nil, nil
+	}
+	return fold.Restore(s.best, check), nil
+}
+
+// scan gathers the pieces of snapshots.
+type scan struct {
+	partial map[string][]*wire.Part
+	best    *wire.Snapshot
+}
+
+func (s *scan) entry(e spar.Entry, oldest int64) {
+	var b wire.Batch
+	if proto.Unmarshal(e.Data, &b) != nil {
+		return
+	}
+	for _, r := range b.GetRecords() {
+		if p := r.GetPart(); p != nil && p.GetOffset() >= oldest {
+			s.part(p)
+		}
+	}
+}
+
+// part takes in one piece; a piece that was appended twice counts once.
+func (s *scan) part(p *wire.Part) {
+	id := string(p.GetSnapshot())
+	for _, o := range s.partial[id] {
+		if o.GetIndex() == p.GetIndex() || o.GetCount() != p.GetCount() {
+			return
+		}
+	}
+	s.partial[id] = append(s.partial[id], p)
+	if len(s.partial[id]) < int(p.GetCount()) {
+		return
+	}
+	if n := join(s.partial[id]); n != nil && (s.best == nil || n.GetOffset() > s.best.GetOffset()) {
+		s.best = n
+	}
+	delete(s.partial, id)
+}
+
+func join(parts []*wire.Part) *wire.Snapshot {
+	pieces := make([][]byte, len(parts))
+	for _, p := range parts {
+		if int(p.GetIndex()) >= len(parts) {
+			return nil
+		}
+		pieces[p.GetIndex()] = p.GetData()
+	}
+	var n wire.Snapshot
+	if proto.Unmarshal(bytes.Join(pieces, nil), &n) != nil {
+		return nil
+	}
+	return &n
+}
