Scenarios with real processes behind a fault-injecting proxy

Cause: a new retry budget held nothing, so a request that met a leaving worker right after the start of an entry was not tried elsewhere. Ruled out: a stale route (the reason given was worker-leaving, at the first stop only). A budget now begins with a reserve of 10.

--- a/agent/app/build.go
+++ b/agent/app/build.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -58,7 +59,7 @@
 	self := func() *wire.RenewRequest {
 		return &wire.RenewRequest{
 			Session: p.Session, Worker: s.Worker, Domain: s.Domain, Rack: s.Rack, Service: s.Service,
-			ControlAddress: s.Control, RequestAddress: s.Listen,
+			ControlAddress: cmp.Or(s.ReachControl, s.Control), RequestAddress: cmp.Or(s.Reach, s.Listen),
 			Total: wire.SizeOf(l.Total()), Free: wire.SizeOf(l.Free(time.Now())), Load: y.Load(),
 			Running: r.Running(), Leaving: r.IsLeaving(), Ready: r.IsReady(),
 		}
--- a/agent/app/settings.go
+++ b/agent/app/settings.go
@@ -23,6 +23,10 @@
 	Listen string `json:"listen" jsonschema:"minLength=1,description=address that entries send requests to"`
 	// Control is where entries send commands.
 	Control string `json:"control" jsonschema:"minLength=1,description=address that entries send commands to"`
+	// Reach is where entries reach Listen, when that differs from it.
+	Reach string `json:"reach" jsonschema:"description=address at which entries reach listen (empty: the same)"`
+	// ReachControl is where entries reach Control, when that differs from it.
+	ReachControl string `json:"reach_control" jsonschema:"description=address at which entries reach control (empty: the same)"`
 	// Platform is the base address of the worker API.
 	Platform string `json:"platform" jsonschema:"minLength=1,description=base address of the worker API"`
 	// Backend is the address of the backend server.
--- a/entry/app/build.go
+++ b/entry/app/build.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -79,7 +80,7 @@
 }
 
 func newPeers(c common.Common, s Settings, n sessionName, l *tail.Tail, v *member.View, a *agents.Table, h *http.Client) *peers.Peers {
-	return peers.NewPeers(c, string(n), s.Control, s.Terms, l, v, a, h)
+	return peers.NewPeers(c, string(n), cmp.Or(s.ReachControl, s.Control), s.Terms, l, v, a, h)
 }
 
 func newPlanner(c common.Common, s Settings, n sessionName, l *tail.Tail, a *agents.Table, p *peers.Peers, r *rules.Rules, h *http.Client) *plan.Planner {
--- a/entry/app/settings.go
+++ b/entry/app/settings.go
@@ -22,6 +22,8 @@
 	Listen string `json:"listen" jsonschema:"minLength=1,description=address that callers send requests and jobs to"`
 	// Control is where agents and other entries call.
 	Control string `json:"control" jsonschema:"minLength=1,description=address that agents and other entries call"`
+	// ReachControl is where others reach Control, when that differs from it.
+	ReachControl string `json:"reach_control" jsonschema:"description=address at which others reach control (empty: the same)"`
 	// Platform is the base address of the log.
 	Platform string `json:"platform" jsonschema:"minLength=1,description=base address of the log"`
 	// Peers are control addresses to take a snapshot from at the start.
--- /dev/null
+++ b/prove/scene/requests_test.go
@@ -0,0 +1,215 @@
+package scene
+
+import (
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/berylspar/spar/load/drive"
+	"github.com/berylspar/spar/prove/fault"
+	"github.com/berylspar/spar/prove/stage"
+)
+
+var wrongAnswers = Scenario{
+	Name:        "WrongAnswers",
+	Description: "answers on the way from backend and agent are crossed, cut short and late; a caller gets the whole answer to its own request or is told that there is none",
+	Run: func(s *Scene) {
+		s.net.Set(fault.Rules{CrossEvery: 7, ShortEvery: 11}, func(way string) bool { return strings.HasSuffix(way, ">backend") })
+		s.net.Set(fault.Rules{CrossEvery: 13, ShortEvery: 17, Delay: 5 * time.Millisecond}, func(way string) bool { return strings.HasSuffix(way, "-requests") })
+		repeatable := s.load(drive.Settings{Repeatable: true}, 6*time.Second)
+		once := s.load(drive.Settings{PerSecond: 50}, 6*time.Second)
+		for name, r := range map[string]drive.Report{"repeatable": <-repeatable, "not repeatable": <-once} {
+			s.Logf("%s: %+v", name, r)
+			if r.Crossed > 0 {
+				s.Errorf("%s: %d answers were not the caller's own, or not whole", name, r.Crossed)
+			}
+			if r.Done == 0 {
+				s.Errorf("%s: no request was done", name)
+			}
+		}
+	},
+}
+
+var atMostOnce = Scenario{
+	Name:        "AtMostOnce",
+	Description: "keyed requests are tried again through another entry while an entry is killed and answers of agents are lost; none runs twice, and not run is true",
+	Run: func(s *Scene) {
+		s.net.Set(fault.Rules{ShortEvery: 5}, func(way string) bool { return strings.HasSuffix(way, "-requests") })
+		var notRun sync.Map
+		var all sync.WaitGroup
+		var sent, done atomic.Int64
+		stop := make(chan struct{})
+		for i := range 8 {
+			all.Go(func() {
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					key := fmt.Sprintf("invoice-%d-%d", i, n)
+					sent.Add(1)
+					if s.invoice(key, &notRun) {
+						done.Add(1)
+					}
+				}
+			})
+		}
+		s.pause(2 * time.Second)
+		s.Proc("entry-1").Kill()
+		s.pause(2 * time.Second)
+		s.must(s.Start("entry", "entry-1"))
+		s.pause(4 * time.Second)
+		close(stop)
+		all.Wait()
+		r, err := s.Truth(s.ctx)
+		s.must(err)
+		for k, n := range r.Keys {
+			if _, never := notRun.Load(k); never && n > 0 {
+				s.Errorf("request %s ran %d times and its last answer was not run", k, n)
+			}
+		}
+		s.Logf("%d invoices, %d answered as done, %d ran", sent.Load(), done.Load(), len(r.Keys))
+		if done.Load() == 0 {
+			s.Error("no invoice was done")
+		}
+	},
+}
+
+// invoice sends one keyed request, through one entry after the other until one
+// gives an outcome. It keeps the keys whose every answer was not run.
+func (s *Scene) invoice(key string, notRun *sync.Map) bool {
+	sure := true
+	for i := range 4 {
+		e := s.Entries()[i%len(s.Entries())]
+		q, err := http.NewRequestWithContext(s.ctx, http.MethodPost, "http://"+e.Listen+"/invoice", strings.NewReader(key))
+		if err != nil {
+			return false
+		}
+		q.Header.Set("Beryl-Service", "booking-desk")
+		q.Header.Set("Beryl-Key", key)
+		q.Header.Set("Beryl-Deadline-Ms", "400")
+		res, err := http.DefaultClient.Do(q)
+		if err != nil {
+			sure = false
+			continue
+		}
+		res.Body.Close()
+		switch res.Header.Get("Beryl-Outcome") {
+		case "done":
+			return true
+		case "unknown":
+			sure = false
+		}
+	}
+	if sure {
+		notRun.Store(key, true)
+	}
+	return false
+}
+
+var badUse = Scenario{
+	Name:        "BadUse",
+	Description: "wrong flags, settings, configurations, jobs and requests get an answer that names what is wrong, and an exit code",
+	Run: func(s *Scene) {
+		for _, c := range []struct {
+			code  int
+			says  string
+			words []string
+		}{
+			{2, "flag provided but not defined: -nope", []string{"-nope"}},
+			{2, `"fly" is not a command`, []string{"fly"}},
+			{2, "services.0.target_ms", []string{"check", s.file(`{"domains":[],"teams":[],"kinds":[],"services":[{"name":"a","target_ms":0}]}`)}},
+			{2, "additional properties 'domian'", []string{"check", s.file(`{"domian":[],"domains":[],"teams":[],"kinds":[],"services":[]}`)}},
+			{2, `kinds.0.team: "b" is not one of the teams`, []string{"check", s.file(`{"domains":[],"teams":[],"services":[],"kinds":[{"name":"k","team":"b","tasks":1,"run_ms":1,"size":{"cpu_milli":1,"memory_mb":1}}]}`)}},
+			{2, `"atlantis" is not one of the domains`, []string{"domain", "close", "atlantis"}},
+			{1, `kind: "nope" is not one of the kinds`, []string{"job", "submit", "-job", "a", "-kind", "nope"}},
+			{1, "larger than every worker", []string{"job", "submit", "-job", "a", "-kind", "fleet-plan", "-cpu-milli", "90000", "-memory-mb", "10"}},
+			{1, "no job nobody", []string{"job", "show", "nobody"}},
+			{0, "", []string{"-h"}},
+		} {
+			out, err := s.Beryl(s.ctx, c.words...)
+			code := 0
+			if err != nil {
+				code = exitCode(err)
+			}
+			if code != c.code || !strings.Contains(out, c.says) {
+				s.Errorf("beryl %v: exit code %d, want %d; it said %q, and should say %q", c.words, code, c.code, out, c.says)
+			}
+		}
+		s.badSettings()
+		s.badRequests()
+	},
+}
+
+func (s *Scene) badSettings() {
+	for _, program := range []string{"entry", "agent", "stand", "load"} {
+		out, err := exec.CommandContext(s.ctx, filepath.Join(bin(s.T), program), "-settings", s.file(`{"nope": 1}`)).CombinedOutput()
+		if exitCode(err) != 2 || !strings.Contains(string(out), "additional properties 'nope'") {
+			s.Errorf("%s with an unknown setting: %v, %s", program, err, out)
+		}
+	}
+}
+
+func (s *Scene) badRequests() {
+	for _, c := range []struct {
+		header, value string
+		status        int
+		says          string
+	}{
+		{"Beryl-Service", "nobody", http.StatusNotFound, "not in the configuration"},
+		{"Beryl-Deadline-Ms", "soon", http.StatusBadRequest, "Beryl-Deadline-Ms"},
+		{"Beryl-Repeatable", "maybe", http.StatusBadRequest, "Beryl-Repeatable"},
+	} {
+		q, err := http.NewRequestWithContext(s.ctx, http.MethodPost, "http://"+s.Entries()[0].Listen+"/", nil)
+		s.must(err)
+		q.Header.Set("Beryl-Service", "booking-desk")
+		q.Header.Set(c.header, c.value)
+		res, err := http.DefaultClient.Do(q)
+		s.must(err)
+		body := make([]byte, 512)
+		n, _ := res.Body.Read(body)
+		res.Body.Close()
+		if res.StatusCode != c.status || !strings.Contains(string(body[:n]), c.says) || res.Header.Get("Beryl-Outcome") != "not-run" {
+			s.Errorf("%s: %s: status %d, outcome %q, %q", c.header, c.value, res.StatusCode, res.Header.Get("Beryl-Outcome"), body[:n])
+		}
+	}
+}
+
+var traceShowsTheWay = Scenario{
+	Name:        "TraceShowsTheWay",
+	Description: "one trace holds a span for each hop of a request: entry, call of the agent, agent, call of the backend",
+	Setup: func(p *stage.Plan) {
+		p.Entry = map[string]any{"trace": "stdout"}
+		p.Agent = map[string]any{"trace": "stdout"}
+	},
+	Run: func(s *Scene) {
+		const trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+		q, err := http.NewRequestWithContext(s.ctx, http.MethodPost, "http://"+s.Entries()[0].Listen+"/", strings.NewReader("x"))
+		s.must(err)
+		q.Header.Set("Beryl-Service", "booking-desk")
+		q.Header.Set("Traceparent", "00-"+trace+"-00f067aa0ba902b7-01")
+		res, err := http.DefaultClient.Do(q)
+		s.must(err)
+		res.Body.Close()
+		for _, span := range []string{"entry request", "agent call", "agent request", "backend call"} {
+			s.must(stage.Until(s.ctx, 10*time.Second, "span "+span, func() bool { return s.hasSpan(span, trace) }))
+		}
+	},
+}
+
+func (s *Scene) hasSpan(name, trace string) bool {
+	for _, p := range []string{"entry-1", "worker-1", "worker-2", "worker-3", "worker-4", "worker-5", "worker-6"} {
+		for line := range strings.SplitSeq(s.Stage.Log(p), "\n") {
+			if strings.Contains(line, `"`+name+`"`) && strings.Contains(line, trace) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/prove/stage/settings.go
+++ b/prove/stage/settings.go
@@ -33,6 +33,9 @@
 		"name": e.Name, "domain": e.Domain, "listen": e.Listen, "control": e.Control, "admin": e.Admin,
 		"platform": "http://" + s.via(e.Name, "log", s.platform), "grace_ms": 300,
 	}
+	if s.plan.Via != nil {
+		out["reach_control"] = s.via("any", e.Name, e.Control)
+	}
 	if len(peers) > 0 {
 		out["peers"] = peers
 	}
@@ -54,6 +57,10 @@
 			"memory_mb": s.plan.MemoryMB * batchShare / batchWhole,
 		},
 	}
+	if s.plan.Via != nil {
+		out["reach"] = s.via("any", a.Worker+"-requests", a.Listen)
+		out["reach_control"] = s.via("any", a.Worker, a.Control)
+	}
 	maps.Copy(out, s.plan.Agent)
 	return out
 }
--- a/prove/stage/stage.go
+++ b/prove/stage/stage.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -165,26 +164,6 @@
 	return os.WriteFile(path, data, 0o600)
 }
 
-// freePorts returns addresses on the loopback interface that nobody listens on.
-func freePorts(n int) ([]string, error) {
-	var out []string
-	var all []net.Listener
-	defer func() {
-		for _, l := range all {
-			l.Close()
-		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, l)
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 // Entries are the entries of the deployment.
 func (s *Stage) Entries() []*Entry { return s.entries }
 
--- a/route/budget.go
+++ b/route/budget.go
@@ -2,10 +2,11 @@
 
 import "sync/atomic"
 
-// Budget caps the load that retries and hedges add. The zero value holds
-// nothing until requests have earned it.
+// Budget caps the load that retries and hedges add. The zero value holds a small
+// reserve, so that the first requests after a start can be tried again too.
 type Budget struct {
-	milli atomic.Int64
+	// earned is beyond the reserve; below 0 when the reserve is drawn on.
+	earned atomic.Int64
 }
 
 const (
@@ -15,23 +16,25 @@
 	cost = 1000
 	// most bounds what can be saved up.
 	most = 50 * cost
+	// reserve is what a new budget holds.
+	reserve = 10 * cost
 )
 
 // Earn is called for each request of a caller.
 func (b *Budget) Earn() {
-	if b.milli.Load() < most {
-		b.milli.Add(earn)
+	if b.earned.Load() < most {
+		b.earned.Add(earn)
 	}
 }
 
 // Spend tells whether one more try may be made, and takes it from the budget.
 func (b *Budget) Spend() bool {
 	for {
-		have := b.milli.Load()
-		if have < cost {
+		have := b.earned.Load()
+		if have+reserve < cost {
 			return false
 		}
-		if b.milli.CompareAndSwap(have, have-cost) {
+		if b.earned.CompareAndSwap(have, have-cost) {
 			return true
 		}
 	}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,103 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/berylspar/spar/wire"
+	"github.com/valyala/fasthttp"
+)
+
+func newTestRouter(n int, p Policy) *Router {
+	r := NewRouter("d1", time.Millisecond, p, func(string) *fasthttp.HostClient { return nil })
+	var seen []Seen
+	for i := range n {
+		seen = append(seen, Seen{Worker: string(rune('a' + i)), Domain: "d1", Service: "s", Load: &wire.Load{Slots: 8, ServiceUs: 1000}})
+	}
+	r.Update(seen, time.Unix(0, 0))
+	return r
+}
+
+// The first request after a start met a worker that was leaving, and could not
+// be tried elsewhere because nothing had been earned yet.
+func TestNewBudgetAllowsRetries(t *testing.T) {
+	var b Budget
+	if !b.Spend() {
+		t.Fatal("a new budget allows no retry")
+	}
+	n := 1
+	for b.Spend() {
+		n++
+	}
+	if n != reserve/cost {
+		t.Fatalf("a new budget allows %d retries, want %d", n, reserve/cost)
+	}
+	for range cost / earn {
+		b.Earn()
+	}
+	if !b.Spend() || b.Spend() {
+		t.Fatalf("%d requests must earn one retry", cost/earn)
+	}
+}
+
+func TestEjectionIsCapped(t *testing.T) {
+	r := newTestRouter(6, Choices)
+	now := time.Unix(100, 0)
+	for _, b := range r.table.Load().services["s"] {
+		for range 2 * ejectAfter {
+			b.Begin()
+			r.Done(b, now, false)
+		}
+	}
+	if got := r.out("s"); got != 6/maxOut {
+		t.Fatalf("%d of 6 backends are ejected, want %d", got, 6/maxOut)
+	}
+}
+
+func TestEjectedBackendIsProbedBack(t *testing.T) {
+	r := newTestRouter(3, Choices)
+	now := time.Unix(100, 0)
+	bad := r.table.Load().services["s"][0]
+	for range ejectAfter {
+		bad.Begin()
+		r.Done(bad, now, false)
+	}
+	for range 100 {
+		if b, _ := r.Pick("s", nil, now); b == bad {
+			t.Fatal("an ejected backend was picked")
+		}
+	}
+	now = now.Add(ejectFirst + time.Millisecond)
+	probes := 0
+	for range 100 {
+		if b, _ := r.Pick("s", nil, now); b == bad {
+			probes++
+		}
+	}
+	if probes != 1 {
+		t.Fatalf("%d probes at once, want 1", probes)
+	}
+	bad.Begin()
+	r.Done(bad, now, true)
+	if bad.isEjected(now) {
+		t.Fatal("a probe that went well did not bring the backend back")
+	}
+}
+
+func TestNearDomainComesFirst(t *testing.T) {
+	r := NewRouter("d1", 2*time.Millisecond, Choices, func(string) *fasthttp.HostClient { return nil })
+	r.Update([]Seen{
+		{Worker: "near", Domain: "d1", Service: "s", Load: &wire.Load{Slots: 8, ServiceUs: 1000}},
+		{Worker: "far", Domain: "d2", Service: "s", Load: &wire.Load{Slots: 8, ServiceUs: 1000}},
+	}, time.Unix(0, 0))
+	now := time.Unix(100, 0)
+	for range 50 {
+		if b, _ := r.Pick("s", nil, now); b.Worker() != "near" {
+			t.Fatal("the far backend was picked though the near one is idle")
+		}
+	}
+	r.all["near"].Report(&wire.Load{InFlight: 8, Queued: 24, Slots: 8, ServiceUs: 1000})
+	if b, _ := r.Pick("s", nil, now); b.Worker() != "far" {
+		t.Fatal("the near backend was picked though its queue is longer than the way to the far one")
+	}
+}
