Colocation control, bench, and a daemon that can build itself anew

Cause of EntryFrozen's failures: an expelled entry builds itself anew in the same process, and the second metrics reporter panicked over metrics registered twice (goroutine 1, tally reporter). Agents that are fenced had the same fault. Ruled out: the wait for acknowledgements (the log showed the panic before any registration).

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,12 @@
 
 lint: ## check formatting and the linter's set
 	@for m in $(MODULES); do (cd $$m && go run $(LINTER) run ./...) || exit 1; done
+
+bench: build ## measure the policy under load against plain baselines
+	@exec bin/prove bench
+
+SEEDS ?= 1000
+proof: build ## long random runs: make proof SEEDS=1000
+	@cd prove && go test -count=1 -timeout 10h ./random -seeds $(SEEDS)
+	@go test -count=1 -timeout 10h ./member -histories $$(($(SEEDS) * 100))
+	@go test -count=1 ./fold -rapid.checks $$(($(SEEDS) * 10))
--- a/agent/app/build.go
+++ b/agent/app/build.go
@@ -12,6 +12,7 @@
 	"github.com/berylspar/spar/agent/relay"
 	"github.com/berylspar/spar/agent/renew"
 	"github.com/berylspar/spar/agent/tasks"
+	"github.com/berylspar/spar/colo"
 	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/lease"
 	"github.com/berylspar/spar/ledger"
@@ -37,6 +38,8 @@
 		func() *lease.Holder { return &lease.Holder{} },
 		tasks.NewRunner,
 		newRelay,
+		func() *colo.Controller { return colo.NewController(colo.DefaultSettings(0)) },
+		func() *colo.Window { return &colo.Window{} },
 		func(r *tasks.Runner) *ctrl.Server { return ctrl.NewServer(r, s.Worker) },
 		common.NewRPCClient,
 		newRenewer,
@@ -49,19 +52,20 @@
 	return c.Invoke(func(d *daemon) error { return d.run(ctx) })
 }
 
-func newRelay(c common.Common, s Settings, r *tasks.Runner) *relay.Relay {
+func newRelay(c common.Common, s Settings, r *tasks.Runner, w *colo.Window) *relay.Relay {
 	return relay.NewRelay(c, relay.Settings{
 		Backend: s.Backend, Service: s.Service, Slots: s.Slots, Connections: s.Connections, Queue: s.Queue,
-	}, r.RequestGate, func(time.Duration) {})
+	}, r.RequestGate, func(took time.Duration) { w.Add(time.Now(), took) })
 }
 
-func newRenewer(c common.Common, s Settings, r *tasks.Runner, h *lease.Holder, l *ledger.Ledger, y *relay.Relay, p tasks.Place, client *http.Client) *renew.Renewer {
+func newRenewer(c common.Common, s Settings, r *tasks.Runner, h *lease.Holder, l *ledger.Ledger, y *relay.Relay, p tasks.Place, client *http.Client, k *colo.Controller) *renew.Renewer {
 	self := func() *wire.RenewRequest {
 		return &wire.RenewRequest{
 			Session: p.Session, Worker: s.Worker, Domain: s.Domain, Rack: s.Rack, Service: s.Service,
 			ControlAddress: cmp.Or(s.ReachControl, s.Control), RequestAddress: cmp.Or(s.Reach, s.Listen),
 			Total: wire.SizeOf(l.Total()), Free: wire.SizeOf(l.Free(time.Now())), Load: y.Load(),
 			Running: r.Running(), Leaving: r.IsLeaving(), Ready: r.IsReady(),
+			KindsAvoided: k.Scores().Avoided(),
 		}
 	}
 	return renew.NewRenewer(c, r, h, s.Worker, time.Duration(s.RenewMS)*time.Millisecond, s.Terms.Start(), s.Entries, self, client)
--- a/agent/app/daemon.go
+++ b/agent/app/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -11,6 +12,7 @@
 	"github.com/berylspar/spar/agent/relay"
 	"github.com/berylspar/spar/agent/renew"
 	"github.com/berylspar/spar/agent/tasks"
+	"github.com/berylspar/spar/colo"
 	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/hops"
 	"github.com/berylspar/spar/wire"
@@ -35,10 +37,13 @@
 	relay    *relay.Relay
 	ctrl     *ctrl.Server
 	renewer  *renew.Renewer
+	control  *colo.Controller
+	window   *colo.Window
 }
 
-func newDaemon(b *common.Base, s Settings, r *tasks.Runner, y *relay.Relay, c *ctrl.Server, n *renew.Renewer) *daemon {
-	return &daemon{Common: b.Common, base: b, settings: s, runner: r, relay: y, ctrl: c, renewer: n}
+func newDaemon(b *common.Base, s Settings, r *tasks.Runner, y *relay.Relay, c *ctrl.Server, n *renew.Renewer, k *colo.Controller, w *colo.Window) *daemon {
+	r.SetAvoid(func(kind string) bool { return slices.Contains(k.Scores().Avoided(), kind) })
+	return &daemon{Common: b.Common, base: b, settings: s, runner: r, relay: y, ctrl: c, renewer: n, control: k, window: w}
 }
 
 // run serves until the context ends, then stops by plan: it takes nothing new,
@@ -53,6 +58,9 @@
 	}
 	watched := d.runner.Watch(work)
 	renewed := d.renewer.Run(work)
+	if d.settings.Throttle {
+		ends = append(ends, d.runner.Control(work, d.control, d.window, d.settings.Service))
+	}
 	d.Info("agent started", "session", d.runner.Session(), "requests", d.settings.Listen, "control", d.settings.Control)
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/colo/colo.go
@@ -0,0 +1,163 @@
+// Package colo decides how batch work that shares a machine with a
+// latency-critical service is held back: throttle the task most likely to
+// blame, evict it when its floor does not help, and recover slowly. It is pure:
+// it reads no clock and calls nobody.
+package colo
+
+import (
+	"slices"
+	"time"
+
+	"github.com/berylspar/spar"
+)
+
+// Settings are the limits of the control.
+type Settings struct {
+	// Target is the answer time of the service that is to be kept.
+	Target time.Duration
+	// Floor is the least share of its processors that a task is throttled to.
+	Floor float64
+	// Step is the factor of one throttling.
+	Step float64
+	// Raise is the share of its size by which a task recovers in one step.
+	Raise float64
+	// CalmSteps is the number of calm steps before a recovery.
+	CalmSteps int
+	// FloorSteps is the number of steps over the target, with all tasks at
+	// their floor, before one is evicted.
+	FloorSteps int
+}
+
+// DefaultSettings return the limits for a target.
+func DefaultSettings(target time.Duration) Settings {
+	return Settings{Target: target, Floor: 0.2, Step: 0.5, Raise: 0.15, CalmSteps: 5, FloorSteps: 4}
+}
+
+// calmShare is the share of the target below which the service is calm. The
+// gap between it and 1 is the hysteresis that keeps tasks from being throttled
+// and released on every small change.
+const calmShare = 0.8
+
+// Task is a batch task on the machine.
+type Task struct {
+	ID   spar.TaskID
+	Kind string
+	// Full is the size of the task and CPU its cap, in thousandths.
+	Full int64
+	CPU  int64
+	// Age is the time since its start.
+	Age time.Duration
+}
+
+// Action is what to do to one task.
+type Action struct {
+	ID spar.TaskID
+	// CPU is the new cap in thousandths; ignored where Evict is set.
+	CPU    int64
+	Evict  bool
+	Reason spar.Reason
+}
+
+// Controller decides step by step. The zero value needs Settings.
+type Controller struct {
+	settings Settings
+	scores   Scores
+	calm     int
+	floored  int
+}
+
+// NewController returns a controller.
+func NewController(s Settings) *Controller { return &Controller{settings: s} }
+
+// SetTarget replaces the target; the configuration may change it.
+func (c *Controller) SetTarget(t time.Duration) { c.settings.Target = t }
+
+// Scores are what was learnt about kinds of batch tasks.
+func (c *Controller) Scores() *Scores { return &c.scores }
+
+// Step decides on what the service's answers took lately, and the tasks that
+// run beside it. seen is false when there were too few answers to tell.
+func (c *Controller) Step(latency time.Duration, seen bool, tasks []Task) []Action {
+	c.scores.decay()
+	if c.settings.Target == 0 || !seen {
+		return c.rest(tasks)
+	}
+	load := float64(latency) / float64(c.settings.Target)
+	c.scores.learn(load, tasks)
+	if load > 1 {
+		c.calm = 0
+		return c.press(tasks)
+	}
+	c.floored = 0
+	if load < calmShare {
+		return c.rest(tasks)
+	}
+	c.calm = 0
+	return nil
+}
+
+// press throttles the task most likely to blame, or evicts it once all are at
+// their floor and the service still suffers.
+func (c *Controller) press(tasks []Task) []Action {
+	ordered := c.blame(tasks)
+	for _, t := range ordered {
+		floor := int64(float64(t.Full) * c.settings.Floor)
+		if t.CPU > floor {
+			next := max(int64(float64(t.CPU)*c.settings.Step), floor)
+			return []Action{{ID: t.ID, CPU: next, Reason: spar.ReasonLatency}}
+		}
+	}
+	if len(ordered) == 0 {
+		return nil
+	}
+	c.floored++
+	if c.floored < c.settings.FloorSteps {
+		return nil
+	}
+	c.floored = 0
+	return []Action{{ID: ordered[0].ID, Evict: true, Reason: spar.ReasonLatency}}
+}
+
+// rest lets the least to blame recover a little, after some calm.
+func (c *Controller) rest(tasks []Task) []Action {
+	c.calm++
+	if c.calm < c.settings.CalmSteps {
+		return nil
+	}
+	ordered := c.blame(tasks)
+	slices.Reverse(ordered)
+	for _, t := range ordered {
+		if t.CPU < t.Full {
+			c.calm = c.settings.CalmSteps - 1
+			next := min(t.CPU+max(int64(float64(t.Full)*c.settings.Raise), 1), t.Full)
+			return []Action{{ID: t.ID, CPU: next}}
+		}
+	}
+	return nil
+}
+
+// freshAge is the age below which a task is suspected for having just come.
+const freshAge = 2 * time.Second
+
+// blame orders tasks, the most likely to blame first: by what was learnt of
+// their kind times what they use, the latest to come before the others.
+func (c *Controller) blame(tasks []Task) []Task {
+	weight := func(t Task) float64 {
+		w := (0.1 + c.scores.Of(t.Kind)) * float64(t.CPU)
+		if t.Age < freshAge {
+			w *= 2
+		}
+		return w
+	}
+	out := slices.Clone(tasks)
+	slices.SortStableFunc(out, func(a, b Task) int {
+		switch wa, wb := weight(a), weight(b); {
+		case wa > wb:
+			return -1
+		case wa < wb:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
--- a/common/common.go
+++ b/common/common.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"go.opentelemetry.io/otel/trace"
@@ -47,7 +48,9 @@
 
 // NewScope returns a scope of metrics, what serves them, and what ends it.
 func NewScope(program string) (tally.Scope, prometheus.Reporter, io.Closer) {
-	r := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets a daemon build itself anew in one process.
+	registry := client.NewRegistry()
+	r := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: program, CachedReporter: r, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
--- a/prove/app/main.go
+++ b/prove/app/main.go
@@ -31,6 +31,7 @@
 
 func commands() []command {
 	return []command{
+		{"bench", "measure the policy under load against plain baselines", bench},
 		{"try", "bring up a small deployment, use it, close a domain and open it again, and report", try},
 	}
 }
--- /dev/null
+++ b/prove/app/move.go
@@ -0,0 +1,117 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/berylspar/spar/prove/stage"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// The moments of a domain's move.
+const (
+	moveClose = 6 * time.Second
+	moveOpen  = 14 * time.Second
+	moveEnd   = 24 * time.Second
+	backShare = 0.95
+)
+
+// benchMove measures the work done, by the second, while a domain leaves and
+// returns.
+func benchMove(ctx context.Context, o Options, out io.Writer) error {
+	return with(ctx, benchPlan(o), func(s *stage.Stage) error {
+		for n := range 3 {
+			for i := range 60 {
+				if err := s.Submit(ctx, i%3, fmt.Sprintf("move-%d-%d", n, i), "audit", 0, 0); err != nil {
+					return err
+				}
+			}
+		}
+		pause(ctx, warmUp)
+		began, err := s.Truth(ctx)
+		if err != nil {
+			return err
+		}
+		clock := time.Now()
+		pause(ctx, moveClose)
+		closed := time.Since(clock)
+		if _, err := s.Beryl(ctx, "domain", "close", "haskovo"); err != nil {
+			return err
+		}
+		pause(ctx, moveOpen-time.Since(clock))
+		opened := time.Since(clock)
+		if _, err := s.Beryl(ctx, "domain", "open", "haskovo"); err != nil {
+			return err
+		}
+		pause(ctx, moveEnd+2*benchTaskRun-time.Since(clock))
+		r, err := s.Truth(ctx)
+		if err != nil {
+			return err
+		}
+		var bySecond []float64
+		for at := began.Now; at < began.Now+moveEnd; at += time.Second {
+			bySecond = append(bySecond, worked(r, at, at+time.Second).Seconds())
+		}
+		breaches := stage.Breaches(r, []stage.Closure{{Domain: "haskovo", From: began.Now + closed + 2*time.Second, To: began.Now + opened}}, nil)
+		return tellMove(o, out, bySecond, closed, opened, len(breaches))
+	})
+}
+
+func tellMove(o Options, out io.Writer, bySecond []float64, closed, opened time.Duration, breaches int) error {
+	before, total := 0.0, 0.0
+	for i, v := range bySecond {
+		if time.Duration(i+1)*time.Second <= closed {
+			before += v / float64(int(closed/time.Second))
+		}
+		total += v
+	}
+	worst, back := before, time.Duration(-1)
+	for i, v := range bySecond {
+		if time.Duration(i)*time.Second >= closed {
+			worst = min(worst, v)
+		}
+		if at := time.Duration(i) * time.Second; at >= opened && back < 0 && v >= backShare*before {
+			back = at + time.Second - opened
+		}
+	}
+	fmt.Fprintf(out, "\ndomain move: one of three closed at %s and opened at %s; work done in task seconds a second\n", closed.Round(time.Millisecond), opened.Round(time.Millisecond))
+	for i, v := range bySecond {
+		fmt.Fprintf(out, "%5.1f", v)
+		if i%12 == 11 {
+			fmt.Fprintln(out)
+		}
+	}
+	said := back.Round(100 * time.Millisecond).String()
+	if back < 0 {
+		said = "not within the run"
+	}
+	fmt.Fprintf(out, "before %.1f, total %.0f, worst second %.2f of before, back at %.0f%% after %s, breaches %d\n", before, total, worst/before, backShare*100, said, breaches)
+	return drawMove(o, bySecond)
+}
+
+func drawMove(o Options, bySecond []float64) error {
+	if err := os.MkdirAll(o.Out, 0o755); err != nil {
+		return err
+	}
+	p := plot.New()
+	p.Title.Text = "Work done while a failure domain leaves and returns"
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "task seconds done a second"
+	p.Y.Min = 0
+	points := make(plotter.XYs, len(bySecond))
+	for i, v := range bySecond {
+		points[i] = plotter.XY{X: float64(i), Y: v}
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	p.Add(line, plotter.NewGrid())
+	return p.Save(16*vg.Centimeter, 8*vg.Centimeter, filepath.Join(o.Out, "move.svg"))
+}
--- a/prove/scene/scene_test.go
+++ b/prove/scene/scene_test.go
@@ -99,7 +99,7 @@
 	}
 }
 
-const tailBytes = 4000
+const tailBytes = 6000
 
 func tailOf(text string) string { return text[max(len(text)-tailBytes, 0):] }
 
