Blame by regression lost, and is reverted

Tried because scores by share can't tell kinds apart that run together.

Conclusion: the regression learns too slowly for tasks that live about a second and lets p99 go beyond the target; by share the target holds. Ruled out: too late a throttle of new tasks (both begin them throttled).

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,6 @@
 
 recover: build ## measure the time until work goes on after a death
 	@exec bin/prove recover
+
+outage: build ## measure the batch work done while the log is away
+	@exec bin/prove outage
--- a/colo/colo.go
+++ b/colo/colo.go
@@ -38,6 +38,9 @@
 // and released on every small change.
 const calmShare = 0.8
 
+// wary is the score from which a kind's new tasks begin throttled.
+const wary = 0.08
+
 // Task is a batch task on the machine.
 type Task struct {
 	ID   spar.TaskID
@@ -131,7 +134,7 @@
 // StartAt is the cap that a new task begins with: a kind that was seen to
 // disturb the service begins throttled, and recovers in calm.
 func (c *Controller) StartAt(kind string, full int64) int64 {
-	if !c.scores.isWary(kind) {
+	if c.scores.Of(kind) < wary {
 		return full
 	}
 	return int64(float64(full) * c.settings.Floor)
--- a/prove/app/main.go
+++ b/prove/app/main.go
@@ -31,6 +31,7 @@
 
 func commands() []command {
 	return []command{
+		{"outage", "measure the batch work done while the log is away", outage},
 		{"recover", "measure the time until work goes on after a death", recoveries},
 		{"slopes", "measure what the parts cost, by size", slopes},
 		{"bench", "measure the policy under load against plain baselines", bench},
--- /dev/null
+++ b/prove/app/outage.go
@@ -0,0 +1,77 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/berylspar/spar/lease"
+	"github.com/berylspar/spar/prove/stage"
+	"github.com/berylspar/spar/stand/logs"
+)
+
+const (
+	outageSpan = time.Minute
+	outageTask = 3 * time.Minute
+	quickSpan  = 15 * time.Second
+)
+
+// outage measures the batch work done in a minute without the log against the
+// minute before, with freshness from the log alone and with the peers' word.
+func outage(ctx context.Context, o Options, out io.Writer) error {
+	span := outageSpan
+	if o.Quick {
+		span = quickSpan
+	}
+	fmt.Fprintf(out, "batch work in %s without the log, against the same time before (task seconds)\n", span)
+	for _, c := range []struct {
+		name    string
+		hearsay int64
+	}{{"freshness from the log alone", 0}, {"and from the peers' word", lease.DefaultTerms().HearsayMS}} {
+		terms := lease.DefaultTerms()
+		terms.HearsayMS = c.hearsay
+		p := naemPlan(o)
+		p.Entry = map[string]any{"terms": terms}
+		p.Agent = map[string]any{"terms": terms, "throttle": false}
+		err := with(ctx, p, func(s *stage.Stage) error {
+			if err := s.Submit(ctx, 0, "long", "audit", 50, outageTask); err != nil {
+				return err
+			}
+			pause(ctx, warmUp)
+			first, err := s.Truth(ctx)
+			if err != nil {
+				return err
+			}
+			pause(ctx, span)
+			if err := s.LogFaults(ctx, logs.Faults{Down: true, LandWhileDown: true}); err != nil {
+				return err
+			}
+			second, err := s.Truth(ctx)
+			if err != nil {
+				return err
+			}
+			pause(ctx, span)
+			if err := s.LogFaults(ctx, logs.Faults{}); err != nil {
+				return err
+			}
+			if _, err := s.Beryl(ctx, "job", "cancel", "long"); err != nil {
+				return err
+			}
+			pause(ctx, warmUp)
+			last, err := s.Truth(ctx)
+			if err != nil {
+				return err
+			}
+			before := worked(last, first.Now, second.Now).Seconds()
+			during := worked(last, second.Now, second.Now+span).Seconds()
+			breaches := stage.Breaches(last, nil, func(string) bool { return true })
+			fmt.Fprintf(out, "%-32s before %7.0f, during %7.0f, ratio %.3f, breaches %d\n", c.name, before, during, during/before, len(breaches))
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
