--- a/agent/tasks/watch.go
+++ b/agent/tasks/watch.go
@@ -131,10 +131,10 @@
 	t.stage = ended
 	r.ledger.Release(t.id)
 	ref := wire.RefOf(t.id)
-	switch {
-	case s.State == spar.TaskDone:
+	switch s.State {
+	case spar.TaskDone:
 		t.end = &wire.End{Task: ref, Ok: true}
-	case s.State == spar.TaskFailed:
+	case spar.TaskFailed:
 		t.end = &wire.End{Task: ref, Reason: s.Reason}
 	default:
 		t.evict = &wire.Evict{Task: ref, Checkpoint: s.Checkpoint, ProgressMs: s.Saved.Milliseconds(), LostUs: (s.Progress - s.Saved).Microseconds(), Reason: string(t.why(s))}
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -18,7 +18,7 @@
 
 func TestRefusalsNameTheField(t *testing.T) {
 	for data, want := range map[string]string{
-		`{"nmae":"x"}`:               "additional properties 'nmae'",
+		`{"extra":"x"}`:              "additional properties 'extra'",
 		`{"name":""}`:                "name: ",
 		`{"inner":{"rate":11}}`:      "inner.rate: ",
 		`{"inner":{"rate":"fast"}}`:  "inner.rate: ",
--- a/fold/fold_test.go
+++ b/fold/fold_test.go
@@ -234,7 +234,7 @@
 	}
 	f.Add(data)
 	f.Add([]byte{0xff, 0x01})
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		var b wire.Batch
 		if proto.Unmarshal(data, &b) != nil {
 			return
--- a/prove/random/net_test.go
+++ b/prove/random/net_test.go
@@ -105,7 +105,7 @@
 		for i := range copies {
 			go func() {
 				time.Sleep(f.delay * time.Duration(1+9*i))
-				answers <- serve(f.handler, q, body)
+				answers <- serve(f.handler, q, body) //nolint:bodyclose // the HTTP client that asked closes it
 			}()
 		}
 	}
--- a/prove/random/random_test.go
+++ b/prove/random/random_test.go
@@ -58,11 +58,7 @@
 }
 
 func runHistory(t *testing.T, seed uint64) {
-	var debug io.Writer = io.Discard
-	if *talk {
-		debug = os.Stderr
-	}
-	h := &history{world: newWorld(seed, 3, 3, 6, debug), t: t, seed: seed, closures: map[string]*stage.Closure{}, kinds: map[string]int{}, accepted: map[string]bool{}}
+	h := &history{world: newWorld(seed, 3, 3, 6, output()), t: t, seed: seed, closures: map[string]*stage.Closure{}, kinds: map[string]int{}, accepted: map[string]bool{}}
 	h.configure()
 	began := time.Now()
 	for n := 0; time.Since(began) < runTime; n++ {
@@ -83,6 +79,14 @@
 	time.Sleep(time.Minute)
 }
 
+// output is where the processes log.
+func output() io.Writer {
+	if *talk {
+		return os.Stderr
+	}
+	return io.Discard
+}
+
 func (h *history) append(p *process, r *wire.Record) (tail.Applied, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
--- a/prove/random/world_test.go
+++ b/prove/random/world_test.go
@@ -168,7 +168,7 @@
 	m.Handle(wire.NewEntryHandler(server))
 	w.net.listen(p.address, m)
 	p.tail, p.view = t, v
-	p.ends = []<-chan error{t.Run(ctx), s.Run(ctx), n.Run(ctx), k.Run(ctx), w.registered(ctx, p, s, t)}
+	p.ends = []<-chan error{t.Run(ctx), s.Run(ctx), n.Run(ctx), k.Run(ctx), w.registered(ctx, s, t)}
 	p.drain = func(ctx context.Context) {
 		server.Leave()
 		s.Goodbye(ctx)
@@ -177,7 +177,7 @@
 	return p
 }
 
-func (w *world) registered(ctx context.Context, p *process, s *peers.Peers, t *tail.Tail) <-chan error {
+func (w *world) registered(ctx context.Context, s *peers.Peers, t *tail.Tail) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		for t.FreshAt().IsZero() && wait(ctx, 5*time.Millisecond) == nil {
--- a/prove/scene/domains_test.go
+++ b/prove/scene/domains_test.go
@@ -54,7 +54,7 @@
 	Run: func(s *Scene) {
 		jobs := s.submit("fleet-plan", 4, 4, 5*time.Second)
 		served := s.load(drive.Settings{Targets: s.Listens()[1:], Repeatable: true}, 15*time.Second)
-		s.awaitRunning(jobs)
+		s.awaitRunning()
 		var gone []string
 		for _, a := range s.Agents() {
 			if a.Domain == "plovdiv" {
--- a/prove/scene/entries_test.go
+++ b/prove/scene/entries_test.go
@@ -13,7 +13,7 @@
 	Run: func(s *Scene) {
 		jobs := s.submit("fleet-plan", 4, 4, 4*time.Second)
 		others := s.load(drive.Settings{Targets: s.Listens()[1:], Repeatable: true}, 8*time.Second)
-		s.awaitRunning(jobs)
+		s.awaitRunning()
 		s.Proc("entry-1").Kill()
 		s.pause(3 * time.Second)
 		s.must(s.Start("entry", "entry-1"))
@@ -31,7 +31,7 @@
 	Setup:       nil,
 	Run: func(s *Scene) {
 		jobs := s.submit("fleet-plan", 4, 4, 4*time.Second)
-		s.awaitRunning(jobs)
+		s.awaitRunning()
 		s.must(s.Proc("entry-2").Signal(syscall.SIGSTOP))
 		s.pause(13 * time.Second)
 		s.must(s.Proc("entry-2").Signal(syscall.SIGCONT))
@@ -50,7 +50,7 @@
 		last := s.load(drive.Settings{Targets: s.Listens()[2:]}, 20*time.Second)
 		for _, a := range s.Agents()[:3] {
 			if !s.Proc(a.Worker).End() {
-				s.Errorf("%s did not stop by plan:\n%s", a.Worker, tailOf(s.Stage.Log(a.Worker)))
+				s.Errorf("%s did not stop by plan:\n%s", a.Worker, tailOf(s.Log(a.Worker)))
 			}
 			s.must(s.Start("agent", a.Worker))
 			s.must(s.AllReady(s.ctx))
@@ -64,7 +64,7 @@
 				s.Errorf("callers of %s, which stopped by plan: %+v", e.Name, r)
 			}
 			if !<-ended {
-				s.Errorf("%s did not stop by plan:\n%s", e.Name, tailOf(s.Stage.Log(e.Name)))
+				s.Errorf("%s did not stop by plan:\n%s", e.Name, tailOf(s.Log(e.Name)))
 			}
 			s.must(s.Start("entry", e.Name))
 			s.must(s.Ready(s.ctx, e.Admin))
--- a/prove/scene/log_test.go
+++ b/prove/scene/log_test.go
@@ -17,7 +17,7 @@
 	Description: "the log is away for 20 s and appends land without an answer; running tasks lose nothing, callers are served, and nothing runs twice",
 	Run: func(s *Scene) {
 		jobs := s.submit("fleet-plan", 4, 4, 12*time.Second)
-		s.awaitRunning(jobs)
+		s.awaitRunning()
 		s.pause(2 * time.Second)
 		s.must(s.LogFaults(s.ctx, logs.Faults{Down: true, LandWhileDown: true, Hang: true}))
 		served := s.load(drive.Settings{Repeatable: true}, 18*time.Second)
--- a/prove/scene/requests_test.go
+++ b/prove/scene/requests_test.go
@@ -205,7 +205,7 @@
 
 func (s *Scene) hasSpan(name, trace string) bool {
 	for _, p := range []string{"entry-1", "worker-1", "worker-2", "worker-3", "worker-4", "worker-5", "worker-6"} {
-		for line := range strings.SplitSeq(s.Stage.Log(p), "\n") {
+		for line := range strings.SplitSeq(s.Log(p), "\n") {
 			if strings.Contains(line, `"`+name+`"`) && strings.Contains(line, trace) {
 				return true
 			}
--- a/prove/scene/scene_test.go
+++ b/prove/scene/scene_test.go
@@ -91,10 +91,10 @@
 func (s *Scene) close() {
 	if s.Failed() {
 		for _, e := range s.Entries() {
-			s.Logf("%s:\n%s", e.Name, tailOf(s.Stage.Log(e.Name)))
+			s.Logf("%s:\n%s", e.Name, tailOf(s.Log(e.Name)))
 		}
 	}
-	if err := s.Stage.Close(); err != nil {
+	if err := s.Close(); err != nil {
 		s.Error(err)
 	}
 }
@@ -117,7 +117,7 @@
 	for _, b := range stage.Breaches(r, s.closures, s.again) {
 		s.Error(b)
 	}
-	s.T.Logf("%d runs, %d done, %d evicted, %d lapsed, %d faults injected by proxies", len(r.Runs), stage.Count(r, "done"), stage.Count(r, "stopped"), stage.Count(r, "lapsed"), s.net.Injected())
+	s.Logf("%d runs, %d done, %d evicted, %d lapsed, %d faults injected by proxies", len(r.Runs), stage.Count(r, "done"), stage.Count(r, "stopped"), stage.Count(r, "lapsed"), s.net.Injected())
 }
 
 // submit submits jobs of a number of tasks, spread over the entries.
@@ -146,17 +146,17 @@
 }
 
 // awaitRunning waits until tasks run, and returns a worker that runs some.
-func (s *Scene) awaitRunning(jobs []string) string {
+func (s *Scene) awaitRunning() string {
 	s.Helper()
 	worker := ""
 	s.must(stage.Until(s.ctx, 10*time.Second, "tasks running", func() bool {
-		worker = s.runsOn(jobs)
+		worker = s.runsOn()
 		return worker != ""
 	}))
 	return worker
 }
 
-func (s *Scene) runsOn(jobs []string) string {
+func (s *Scene) runsOn() string {
 	r, err := s.Truth(s.ctx)
 	if err != nil {
 		return ""
