Each command answers -h

Before: beryl check -h tried to read a file named -h and ended with 2. After: a line on the command, its flags where it has some, and 0; BadUse holds it.

--- a/beryl/cmds/runner.go
+++ b/beryl/cmds/runner.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -74,7 +75,11 @@
 	for _, c := range commands() {
 		words := strings.Fields(c.words)
 		if len(args) >= len(words) && strings.Join(args[:len(words)], " ") == c.words {
-			return c.run(r, ctx, args[len(words):])
+			rest := args[len(words):]
+			if slices.Contains(rest, "-h") {
+				return r.help(ctx, c, rest)
+			}
+			return c.run(r, ctx, rest)
 		}
 	}
 	if len(args) == 0 {
@@ -83,6 +88,18 @@
 	return errors.Mark(errors.Newf("%q is not a command; beryl -h lists them", strings.Join(args, " ")), ErrUsage)
 }
 
+// help prints what a command does, and its flags where it has some.
+func (r *Runner) help(ctx context.Context, c command, rest []string) error {
+	fmt.Fprintf(r.Out, "beryl %s %s: %s\n", c.words, c.args, c.about)
+	if !strings.Contains(c.args, "-") {
+		return nil
+	}
+	if err := c.run(r, ctx, rest); !errors.Is(err, flag.ErrHelp) {
+		return err
+	}
+	return nil
+}
+
 // one returns the only argument of a command.
 func one(args []string, what string) (string, error) {
 	if len(args) != 1 {
--- a/prove/scene/requests_test.go
+++ b/prove/scene/requests_test.go
@@ -132,6 +132,8 @@
 			{1, "larger than every worker", []string{"job", "submit", "-job", "a", "-kind", "fleet-plan", "-cpu-milli", "90000", "-memory-mb", "10"}},
 			{1, "no job nobody", []string{"job", "show", "nobody"}},
 			{0, "", []string{"-h"}},
+			{0, "check a configuration", []string{"check", "-h"}},
+			{0, "-run-ms", []string{"job", "submit", "-h"}},
 		} {
 			out, err := s.Beryl(s.ctx, c.words...)
 			code := 0
