The random runs start fenced agents again, and bring entries back in place

The harness left a fenced agent down, where the daemon starts a new session, and brought entries back at new addresses, where agents' settings name fixed ones; the traces show fenced sessions still up and agents whose every known entry was gone. Ruled out: a fault of the fold (the tasks were waiting, and open to be claimed). No check or bound is changed.

--- a/prove/random/random_test.go
+++ b/prove/random/random_test.go
@@ -68,11 +68,13 @@
 		}
 		h.fault()
 		h.replaceExpelled()
+		h.replaceFenced()
 	}
 	h.heal()
 	for range int(settleTime / time.Second) {
 		time.Sleep(time.Second)
 		h.replaceExpelled()
+		h.replaceFenced()
 	}
 	h.check()
 	h.close()
@@ -134,7 +136,7 @@
 func (h *history) fault() {
 	entries, all := h.up(h.entries), h.up(h.agents)
 	if len(entries) == 0 {
-		h.startEntry()
+		h.startEntry("entry-1")
 		return
 	}
 	e, a := entries[h.random.IntN(len(entries))], all[h.random.IntN(len(all))]
@@ -143,13 +145,13 @@
 	switch n {
 	case 0:
 		h.stop(e)
-		h.startEntry()
+		h.startEntry(e.address)
 	case 1:
 		h.stop(a)
 		h.startAgent(a.worker)
 	case 2:
 		h.planned(e)
-		h.startEntry()
+		h.startEntry(e.address)
 	case 3:
 		h.planned(a)
 		h.startAgent(a.worker)
--- a/prove/random/world_test.go
+++ b/prove/random/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -69,6 +70,7 @@
 	view    *member.View
 	runner  *tasks.Runner
 	drain   func(context.Context)
+	fenced  atomic.Bool
 	up      bool
 }
 
@@ -86,8 +88,8 @@
 	for i := range workers {
 		w.workers = append(w.workers, work.NewWorker(fmt.Sprintf("w%d", i+1), w.domains[i%domains], size(), clock, w.truth, store))
 	}
-	for range entries {
-		w.startEntry()
+	for i := range entries {
+		w.startEntry(fmt.Sprintf("entry-%d", i+1))
 	}
 	for i := range workers {
 		w.startAgent(i)
@@ -145,9 +147,11 @@
 	return p, nil
 }
 
-func (w *world) startEntry() *process {
+// startEntry starts an entry at an address that agents know from their settings;
+// one that replaces another comes back at its address.
+func (w *world) startEntry(address string) *process {
 	w.born++
-	p := &process{name: fmt.Sprintf("e%d", w.born), address: fmt.Sprintf("e%d", w.born), up: true}
+	p := &process{name: fmt.Sprintf("e%d", w.born), address: address, up: true}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	c := w.common("entry", p.name)
@@ -274,7 +278,7 @@
 	m.Handle(wire.NewAgentHandler(ctrl.NewServer(r, p.name)))
 	w.net.listen(p.address, m)
 	p.runner = r
-	p.ends = []<-chan error{r.Watch(ctx), n.Run(ctx)}
+	p.ends = []<-chan error{r.Watch(ctx), p.noteFenced(n.Run(ctx))}
 	p.drain = func(ctx context.Context) {
 		r.Leave()
 		r.EvictAll(ctx, spar.ReasonLeaving)
@@ -310,11 +314,33 @@
 	for _, p := range w.up(w.entries) {
 		if p.view.IsExpelled() {
 			w.stop(p)
-			w.startEntry()
+			w.startEntry(p.address)
 		}
 	}
 }
 
+// replaceFenced starts agents whose session was given up again under a new one,
+// as the daemon does.
+func (w *world) replaceFenced() {
+	for _, p := range w.up(w.agents) {
+		if p.fenced.Load() {
+			w.stop(p)
+			w.startAgent(p.worker)
+		}
+	}
+}
+
+// noteFenced passes on how the renewals ended, and notes a fence.
+func (p *process) noteFenced(renewed <-chan error) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		err := <-renewed
+		p.fenced.Store(errors.Is(err, renew.ErrFenced))
+		done <- err
+	}()
+	return done
+}
+
 func (w *world) close() {
 	for _, p := range append(w.entries, w.agents...) {
 		if p.up {
