One loop and one way to serve, in place of their copies

Behaviour, bounds and checks are as they were. Left as they are: the two samples, which are operators' own programs, and the command line's own shapes of the JSON it reads.

--- a/agent/renew/renew.go
+++ b/agent/renew/renew.go
@@ -189,21 +189,7 @@
 
 // report tells the entries how attempts ended, until it is folded.
 func (r *Renewer) report(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		tick := time.NewTicker(reportEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				done <- nil
-				return
-			case <-tick.C:
-				r.Report(ctx)
-			}
-		}
-	}()
-	return done
+	return common.Every(ctx, reportEvery, func(time.Time) { r.Report(ctx) })
 }
 
 // Report sends what waits to be folded, to one entry after the other until one
--- a/agent/tasks/control.go
+++ b/agent/tasks/control.go
@@ -6,6 +6,7 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/colo"
+	"github.com/berylspar/spar/common"
 )
 
 // Times of the control of colocated work.
@@ -17,21 +18,7 @@
 // Control holds batch tasks back where they hurt the service beside them, until
 // the context ends.
 func (r *Runner) Control(ctx context.Context, c *colo.Controller, w *colo.Window, service string) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		tick := time.NewTicker(controlEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				done <- nil
-				return
-			case now := <-tick.C:
-				r.control(ctx, c, w, service, now)
-			}
-		}
-	}()
-	return done
+	return common.Every(ctx, controlEvery, func(now time.Time) { r.control(ctx, c, w, service, now) })
 }
 
 func (r *Runner) control(ctx context.Context, c *colo.Controller, w *colo.Window, service string, now time.Time) {
--- a/agent/tasks/watch.go
+++ b/agent/tasks/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/wire"
 )
 
@@ -43,21 +44,7 @@
 // Watch watches the platform's tasks and renews their leases until the context
 // ends.
 func (r *Runner) Watch(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		tick := time.NewTicker(watchEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				done <- nil
-				return
-			case <-tick.C:
-				r.watch(ctx)
-			}
-		}
-	}()
-	return done
+	return common.Every(ctx, watchEvery, func(time.Time) { r.watch(ctx) })
 }
 
 func (r *Runner) watch(ctx context.Context) {
--- a/common/serve.go
+++ b/common/serve.go
@@ -15,11 +15,10 @@
 
 // Limits of what is served over HTTP.
 const (
-	maxHeader    = 16 << 10
-	maxAdminBody = 1 << 20
-	readLimit    = 10 * time.Second
-	idleLimit    = 60 * time.Second
-	drainLimit   = 10 * time.Second
+	maxHeader  = 16 << 10
+	readLimit  = 10 * time.Second
+	idleLimit  = 60 * time.Second
+	drainLimit = 10 * time.Second
 )
 
 // Endpoints adds /metrics, /healthz and /readyz to a router.
@@ -43,21 +42,7 @@
 		ReadTimeout: readLimit, IdleTimeout: idleLimit, NoDefaultServerHeader: true,
 		CloseOnShutdown: true, Logger: quiet{},
 	}
-	done := make(chan error, 1)
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
-	go func() {
-		select {
-		case err := <-served:
-			done <- errors.Wrapf(err, "serve %s", l.Addr())
-			return
-		case <-ctx.Done():
-		}
-		drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
-		defer cancel()
-		done <- s.ShutdownWithContext(drain)
-	}()
-	return done
+	return serveUntil(ctx, l, s.Serve, s.ShutdownWithContext)
 }
 
 // ServeRPC serves connect handlers on a listener, over HTTP/1 and cleartext
@@ -67,9 +52,14 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	s := &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: readLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeader}
+	return serveUntil(ctx, l, s.Serve, s.Shutdown)
+}
+
+// serveUntil serves until the context ends, then shuts down within drainLimit.
+func serveUntil(ctx context.Context, l net.Listener, serve func(net.Listener) error, shutdown func(context.Context) error) <-chan error {
 	done := make(chan error, 1)
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	go func() { served <- serve(l) }()
 	go func() {
 		select {
 		case err := <-served:
@@ -79,13 +69,13 @@
 		}
 		drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
 		defer cancel()
-		done <- s.Shutdown(drain)
+		done <- shutdown(drain)
 	}()
 	return done
 }
 
 // MaxAdminBody bounds the body of an operator's request, in bytes.
-const MaxAdminBody = maxAdminBody
+const MaxAdminBody = 1 << 20
 
 // quiet drops the HTTP server's lines about clients that went away.
 type quiet struct{}
--- a/entry/app/daemon.go
+++ b/entry/app/daemon.go
@@ -187,21 +187,7 @@
 
 // routes rebuilds the routing table.
 func (d *daemon) routes(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		tick := time.NewTicker(routeEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				done <- nil
-				return
-			case now := <-tick.C:
-				d.parts.Router.Update(d.seen(now), now)
-			}
-		}
-	}()
-	return done
+	return common.Every(ctx, routeEvery, func(now time.Time) { d.parts.Router.Update(d.seen(now), now) })
 }
 
 func (d *daemon) seen(now time.Time) []route.Seen {
--- a/entry/watch/watch.go
+++ b/entry/watch/watch.go
@@ -74,26 +74,14 @@
 
 // Run watches until the context ends.
 func (w *Watch) Run(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		tick := time.NewTicker(every)
-		defer tick.Stop()
-		kept := time.Now()
-		for {
-			select {
-			case <-ctx.Done():
-				done <- nil
-				return
-			case now := <-tick.C:
-				w.step(ctx, now)
-				if now.Sub(kept) >= keepEvery {
-					w.keep(ctx, now)
-					kept = now
-				}
-			}
+	kept := time.Now()
+	return common.Every(ctx, every, func(now time.Time) {
+		w.step(ctx, now)
+		if now.Sub(kept) >= keepEvery {
+			w.keep(ctx, now)
+			kept = now
 		}
-	}()
-	return done
+	})
 }
 
 func (w *Watch) step(ctx context.Context, now time.Time) {
--- a/fold/state.go
+++ b/fold/state.go
@@ -47,15 +47,6 @@
 // Jobs returns the ids of all jobs in order.
 func (s *State) Jobs() []string { return slices.Sorted(maps.Keys(s.jobs)) }
 
-// EachJob calls f for each job, in no order, until it returns false.
-func (s *State) EachJob(f func(*Job) bool) {
-	for _, j := range s.jobs {
-		if !f(j) {
-			return
-		}
-	}
-}
-
 // Fence returns the fence of a session.
 func (s *State) Fence(session string) (Fence, bool) {
 	f, ok := s.fences[session]
--- a/reason.go
+++ b/reason.go
@@ -19,7 +19,6 @@
 	ReasonNotFenced       Reason = "session-not-fenced"
 	ReasonMemberFenced    Reason = "entry-expelled"
 	ReasonKeyTaken        Reason = "key-taken"
-	ReasonStaleCarry      Reason = "stale-carry"
 	ReasonCancelled       Reason = "job-cancelled"
 	ReasonDomainClosed    Reason = "domain-closed"
 	ReasonDomainExcluded  Reason = "domain-not-allowed"
@@ -50,5 +49,4 @@
 	ReasonRestart         Reason = "agent-restarted"
 	ReasonPreempted       Reason = "urgent-work"
 	ReasonEjected         Reason = "fails-too-often"
-	ReasonBudget          Reason = "retry-budget-spent"
 )
--- a/route/router.go
+++ b/route/router.go
@@ -210,6 +210,3 @@
 
 // Ejects counts the ejections.
 func (r *Router) Ejects() int64 { return r.ejects.Load() }
-
-// Len is the number of backends of a service.
-func (r *Router) Len(service string) int { return len(r.table.Load().services[service]) }
