The whole path on the operators' platform, thin

Change: platform/ translates the store, workers, heartbeats, jobs and the operators' configuration; shard/ decides for one shard without clock or network; entry batch elects an owner through the store's group and stores progress with its epoch before anything takes effect; agent batch carries out orders under a fencing token per session, with leases on the worker's clock.

--- /dev/null
+++ b/agent/batch/app.go
@@ -0,0 +1,130 @@
+// Package batch builds the agent that runs batch work on a worker of the
+// platform, and runs it.
+package batch
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/agent/hand"
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/platform"
+	"github.com/cockroachdb/errors"
+	"github.com/fasthttp/router"
+	"go.uber.org/dig"
+)
+
+// maxHeartbeat bounds a heartbeat's body, in bytes.
+const maxHeartbeat = 4 << 20
+
+// Settings of an agent that serves batch work.
+type Settings struct {
+	common.Settings
+	// Name is the name of the instance.
+	Name string `json:"name" jsonschema:"minLength=1,maxLength=64,description=name of the instance"`
+	// Domain is the failure domain of the instance.
+	Domain string `json:"domain" jsonschema:"minLength=1,maxLength=64,description=failure domain of the instance"`
+	// Control is where the worker sends its heartbeats.
+	Control string `json:"control" jsonschema:"minLength=1,description=address that the worker sends heartbeats to"`
+	// Store is the address of the platform's store.
+	Store string `json:"store" jsonschema:"minLength=1,description=address of the platform's store"`
+}
+
+// DefaultSettings suit one instance on a developer's machine.
+func DefaultSettings() Settings {
+	return Settings{Settings: common.DefaultSettings(), Name: "worker-1", Domain: "domain-1", Control: "127.0.0.1:9100", Store: "127.0.0.1:7000"}
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, out, errs io.Writer) int {
+	return common.Main(common.Program[Settings]{
+		Name: "agent batch", About: "runs batch work on the worker of its machine",
+		Defaults: DefaultSettings(), Run: run,
+	}, args, out, errs)
+}
+
+func run(ctx context.Context, s Settings, out, _ io.Writer) error {
+	c := dig.New()
+	for _, p := range []any{
+		func() Settings { return s },
+		func() (*common.Base, error) { return common.NewBase(ctx, s.Settings, "agent", s.Name, out, out) },
+		func(b *common.Base) common.Common { return b.Common },
+		platform.NewClient,
+		func(c *platform.Client) spar.Store { return platform.NewStore(c, s.Store) },
+		func(c *platform.Client) spar.Worker { return platform.NewWorker(c) },
+		func() hand.Format { return hand.Format{Path: platform.HeartbeatPath, Decode: decodeHeartbeat} },
+		hand.NewBeats,
+		func(c common.Common, b *hand.Beats, w spar.Worker, st spar.Store) *hand.Hand {
+			return hand.NewHand(c, s.Name, b, w, st)
+		},
+		func(p parts) *daemon { return &daemon{Common: p.Base.Common, parts: p} },
+	} {
+		if err := c.Provide(p); err != nil {
+			return err
+		}
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := c.Invoke(func(d *daemon) error { return d.run(ctx) })
+	return dig.RootCause(err)
+}
+
+func decodeHeartbeat(id string, body []byte) (hand.Report, error) {
+	h, err := platform.DecodeHeartbeat(id, body)
+	return hand.Report{Info: h.Info, Address: h.Address, Seq: h.Seq}, err
+}
+
+// parts are what a daemon is made of.
+type parts struct {
+	dig.In
+	Base     *common.Base
+	Settings Settings
+	Beats    *hand.Beats
+	Hand     *hand.Hand
+}
+
+// daemon is a whole agent.
+type daemon struct {
+	common.Common
+	parts parts
+}
+
+// run serves until the context ends. What runs on the worker goes on: the next
+// agent takes it over before the lease ends.
+func (d *daemon) run(ctx context.Context) error {
+	p := d.parts
+	defer p.Base.Close(context.WithoutCancel(ctx))
+	l, err := net.Listen("tcp4", p.Settings.Control)
+	if err != nil {
+		return errors.Wrapf(err, "control: %q", p.Settings.Control)
+	}
+	metrics, err := common.ServeAdmin(ctx, p.Settings.Admin, p.Base, nil)
+	if err != nil {
+		return err
+	}
+	d.Info("agent starts", "name", p.Settings.Name, "domain", p.Settings.Domain, "control", p.Settings.Control)
+	r := router.New()
+	p.Beats.Routes(r)
+	ends := []<-chan error{p.Hand.Run(ctx), metrics, common.ServeFast(ctx, l, r.Handler, maxHeartbeat)}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-reload:
+			d.Info("reload asked for: the settings take effect at the next start")
+		}
+	}
+	d.Info("agent stops")
+	for _, e := range ends {
+		if err := <-e; err != nil {
+			d.Warn("not ended cleanly", "err", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/hand/hand.go
@@ -0,0 +1,109 @@
+package hand
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/link"
+	"github.com/berylspar/spar/track"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// connectLimit ends a connection attempt to the owner without an answer.
+	connectLimit = 400 * time.Millisecond
+	// welcomeLimit ends a session that the owner does not open.
+	welcomeLimit = time.Second
+	// silentLimit ends a session whose owner does not answer heartbeats.
+	silentLimit = 2500 * time.Millisecond
+	// sessionPause is the pause between two sessions.
+	sessionPause = 100 * time.Millisecond
+	// ownerWait bounds how long a read for a new owner waits; a connection that
+	// has gone silent is found out after it.
+	ownerWait = 3 * time.Second
+)
+
+// Hand serves the owner of the shard, one session after the other.
+type Hand struct {
+	common.Common
+	node   string
+	beats  *Beats
+	worker spar.Worker
+	place  *track.Owner
+	// epoch is the highest of the owners served.
+	epoch int64
+}
+
+// NewHand returns the hand of a node.
+func NewHand(c common.Common, node string, b *Beats, w spar.Worker, s spar.Store) *Hand {
+	return &Hand{Common: c, node: node, beats: b, worker: w, place: track.NewOwner(s, ownerWait, func(err error) {
+		c.Warn("owner's place not readable", "err", err)
+	})}
+}
+
+// Run serves until the context ends.
+func (h *Hand) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	following := h.place.Run(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			if err := h.next(ctx); err != nil && ctx.Err() == nil {
+				h.Warn("session ends", "err", err)
+			}
+			h.wait(ctx)
+		}
+		done <- <-following
+	}()
+	return done
+}
+
+// wait waits for a pause, or less when there is news.
+func (h *Hand) wait(ctx context.Context) {
+	t := time.NewTimer(sessionPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-h.beats.Changed():
+	case <-h.place.Changed():
+	}
+}
+
+// next runs one session with the owner, if both it and the worker are known.
+func (h *Hand) next(ctx context.Context) error {
+	at, beat := h.place.Load(), h.beats.Load()
+	if at == nil || beat == nil {
+		return nil
+	}
+	d := net.Dialer{Timeout: connectLimit}
+	c, err := d.DialContext(ctx, "tcp4", at.Agents)
+	if err != nil {
+		return errors.Wrap(err, "connect to the owner")
+	}
+	conn := link.NewConn[link.Down, link.Up](c)
+	defer conn.Close()
+	if err := conn.Send(&link.Up{Node: h.node, Worker: &beat.Info}); err != nil {
+		return err
+	}
+	m, err := conn.Receive(welcomeLimit)
+	if err != nil {
+		return errors.Wrap(err, "no welcome")
+	}
+	if m.Welcome == nil || m.Welcome.Epoch < h.epoch {
+		return errors.Newf("owner of epoch %d, below %d", epochOf(m), h.epoch)
+	}
+	h.epoch = m.Welcome.Epoch
+	h.Info("session begins", "epoch", h.epoch, "token", m.Welcome.Token, "worker", beat.Info.Life.ID)
+	h.Counter("sessions").Inc(1)
+	return newSession(h, conn, *m.Welcome, *beat).run(ctx)
+}
+
+func epochOf(m *link.Down) int64 {
+	if m.Welcome == nil {
+		return 0
+	}
+	return m.Welcome.Epoch
+}
--- /dev/null
+++ b/agent/hand/session.go
@@ -0,0 +1,291 @@
+package hand
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/link"
+	"github.com/berylspar/spar/track"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// holdWait is how long a call for the worker's list waits for an end.
+	holdWait = 500 * time.Millisecond
+	// ackWait is how long the next call waits for the owner's acknowledgement
+	// of ends: the worker answers at once while there are any.
+	ackWait = 60 * time.Millisecond
+	// holdPause is the pause after a call without an answer.
+	holdPause = 50 * time.Millisecond
+	// beatEvery is the least time between two heartbeats to the owner.
+	beatEvery = 300 * time.Millisecond
+	// holdTries is how many calls in a row may go unanswered before the
+	// session ends, and with it the extension of the lease.
+	holdTries = 4
+	// parallel bounds the orders that are carried out at once.
+	parallel = 12
+)
+
+// session serves one owner and one life of the worker.
+type session struct {
+	*Hand
+	conn   *link.Conn[link.Down, link.Up]
+	target spar.Target
+	lease  time.Duration
+	slots  chan struct{}
+
+	mu sync.Mutex
+	// until ends the lease, on the worker's clock.
+	until int64
+	// clocks are the worker's clock at or before each heartbeat not granted.
+	clocks  map[int64]int64
+	beat    int64
+	beatAt  time.Time
+	acked   int64
+	passed  int64
+	rows    map[spar.TaskRef]spar.Running
+	results []link.Outcome
+	// unsettled are runs whose stop was answered, by the number of the list
+	// that will tell whether they are there.
+	unsettled map[runKey]int64
+	lists     int64
+	acks      chan struct{}
+	news      chan struct{}
+}
+
+type runKey struct {
+	task spar.TaskRef
+	run  int64
+}
+
+func newSession(h *Hand, c *link.Conn[link.Down, link.Up], w link.Welcome, b Report) *session {
+	return &session{
+		Hand: h, conn: c, lease: w.Lease, slots: make(chan struct{}, parallel),
+		target: spar.Target{Address: b.Address, Life: b.Info.Life, Token: w.Token},
+		clocks: map[int64]int64{}, rows: map[spar.TaskRef]spar.Running{}, unsettled: map[runKey]int64{},
+		acks: make(chan struct{}, 1), news: make(chan struct{}, 1),
+	}
+}
+
+// run serves until the connection, the worker's life or the context ends.
+func (s *session) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		<-ctx.Done()
+		s.conn.Close()
+	}()
+	first, err := s.first(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.report(first, true); err != nil {
+		return err
+	}
+	ends := []<-chan error{s.receive(ctx), s.hold(ctx), s.flush(ctx), s.watch(ctx)}
+	err = firstOf(ends)
+	cancel()
+	return err
+}
+
+// firstOf waits for the first end; the others follow when the context ends.
+func firstOf(ends []<-chan error) error {
+	all := make(chan error, len(ends))
+	for _, e := range ends {
+		go func() { all <- <-e }()
+	}
+	return <-all
+}
+
+// first lists the worker under the session's token, which shuts out every
+// order of an earlier session that was not carried out yet.
+func (s *session) first(ctx context.Context) (spar.Listed, error) {
+	var err error
+	for range holdTries {
+		var l spar.Listed
+		l, err = s.worker.Hold(ctx, s.target, 0, 0, 0)
+		if err == nil || errors.Is(err, spar.ErrOtherLife) || ctx.Err() != nil {
+			return l, err
+		}
+		track.Pause(ctx, holdPause)
+	}
+	return spar.Listed{}, errors.Wrap(err, "worker does not answer")
+}
+
+// hold extends the lease and lists the worker, again and again.
+func (s *session) hold(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() { done <- s.holdLoop(ctx) }()
+	return done
+}
+
+func (s *session) holdLoop(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		acked, until := s.acked, s.until
+		s.lists++
+		number := s.lists
+		s.mu.Unlock()
+		begun := time.Now()
+		l, err := s.worker.Hold(ctx, s.target, acked, until, holdWait)
+		s.Timer("hold").Record(time.Since(begun))
+		if err != nil {
+			failures++
+			if errors.Is(err, spar.ErrOtherLife) || failures >= holdTries {
+				return errors.Wrap(err, "worker not held")
+			}
+			s.Warn("worker not held", "err", err, "failures", failures)
+			track.Pause(ctx, holdPause)
+			continue
+		}
+		failures = 0
+		s.settle(l, number)
+		if err := s.report(l, false); err != nil {
+			return err
+		}
+		if len(l.Ended) > 0 {
+			s.awaitAck(ctx)
+		}
+	}
+	return nil
+}
+
+func (s *session) awaitAck(ctx context.Context) {
+	t := time.NewTimer(ackWait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-s.acks:
+	case <-t.C:
+	}
+}
+
+// settle reports runs that were stopped and are on neither list: they never
+// began, and the worker will not let them.
+func (s *session) settle(l spar.Listed, number int64) {
+	there := map[runKey]bool{}
+	for _, r := range l.Running {
+		there[runKey{r.Task, r.Run}] = true
+	}
+	for _, e := range l.Ended {
+		there[runKey{e.Task, e.Run}] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, after := range s.unsettled {
+		if number <= after {
+			continue
+		}
+		delete(s.unsettled, k)
+		if !there[k] {
+			s.results = append(s.results, link.Outcome{Task: k.task, Run: k.run, Result: spar.StartNever})
+		}
+	}
+}
+
+// report tells the owner what is new on the worker's lists.
+func (s *session) report(l spar.Listed, all bool) error {
+	m := &link.Up{Listed: all}
+	s.mu.Lock()
+	now := time.Now()
+	rows := make(map[spar.TaskRef]spar.Running, len(l.Running))
+	for _, r := range l.Running {
+		rows[r.Task] = r
+		if all || s.rows[r.Task] != r {
+			m.Running = append(m.Running, r)
+		}
+	}
+	s.rows = rows
+	for _, e := range l.Ended {
+		if e.Number > s.passed {
+			m.Ended = append(m.Ended, e)
+		}
+	}
+	if n := len(l.Ended); n > 0 {
+		s.passed = max(s.passed, l.Ended[n-1].Number)
+	}
+	if all || now.Sub(s.beatAt) >= beatEvery {
+		s.beat++
+		s.beatAt = now
+		s.clocks[s.beat] = l.Clock
+		m.Beat = s.beat
+	}
+	m.Outcomes, s.results = s.results, nil
+	s.mu.Unlock()
+	if m.Beat == 0 && !all && len(m.Running) == 0 && len(m.Ended) == 0 && len(m.Outcomes) == 0 {
+		return nil
+	}
+	return s.conn.Send(m)
+}
+
+// result queues an outcome for the owner.
+func (s *session) result(o link.Outcome) {
+	s.mu.Lock()
+	s.results = append(s.results, o)
+	s.mu.Unlock()
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+// flush sends outcomes without waiting for the next list.
+func (s *session) flush(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				done <- nil
+				return
+			case <-s.news:
+			}
+			s.mu.Lock()
+			m := &link.Up{Outcomes: s.results}
+			s.results = nil
+			s.mu.Unlock()
+			if len(m.Outcomes) == 0 {
+				continue
+			}
+			if err := s.conn.Send(m); err != nil {
+				done <- err
+				return
+			}
+		}
+	}()
+	return done
+}
+
+// watch passes on what the worker says of itself, and ends the session when
+// the worker is in a new life or a newer owner is there.
+func (s *session) watch(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				done <- nil
+				return
+			case <-s.place.Changed():
+				if at := s.place.Load(); at.Epoch > s.epoch {
+					done <- errors.Newf("newer owner of epoch %d", at.Epoch)
+					return
+				}
+			case <-s.beats.Changed():
+				b := s.beats.Load()
+				if b.Info.Life != s.target.Life {
+					done <- errors.New("worker in a new life")
+					return
+				}
+				if err := s.conn.Send(&link.Up{Worker: &b.Info}); err != nil {
+					done <- err
+					return
+				}
+			}
+		}
+	}()
+	return done
+}
--- /dev/null
+++ b/common/metrics.go
@@ -0,0 +1,24 @@
+package common
+
+import (
+	"context"
+	"net"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fasthttp/router"
+)
+
+// ServeAdmin serves /metrics, /healthz, /readyz and the routes that add gives,
+// at an address until the context ends.
+func ServeAdmin(ctx context.Context, address string, b *Base, add func(*router.Router)) (<-chan error, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "admin: %q", address)
+	}
+	r := router.New()
+	Endpoints(r, b.Common.Health, b.Reporter)
+	if add != nil {
+		add(r)
+	}
+	return ServeFast(ctx, l, r.Handler, maxHeader), nil
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -6,6 +6,12 @@
 	"os"
 
 	"github.com/berylspar/spar/entry/app"
+	"github.com/berylspar/spar/entry/batch"
 )
 
-func main() { os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	if len(os.Args) > 1 && os.Args[1] == "batch" {
+		os.Exit(batch.Main(os.Args[2:], os.Stdout, os.Stderr))
+	}
+	os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/entry/owner/owner.go
@@ -0,0 +1,186 @@
+package owner
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/entry/config"
+	"github.com/berylspar/spar/link"
+	"github.com/berylspar/spar/steady"
+	"github.com/berylspar/spar/track"
+	"github.com/cockroachdb/errors"
+)
+
+// The topics of the shard, and the group whose first partition makes a member
+// its owner.
+const (
+	JobsTopic  = "jobs"
+	stateTopic = "state"
+	group      = "owners"
+	producer   = "owner"
+)
+
+// termMargin ends a term before the store can give it to another: it covers
+// rounding and timers that fire late.
+const termMargin = 100 * time.Millisecond
+
+// Owner takes part in the election and runs the shard while it is elected.
+type Owner struct {
+	common.Common
+	settings Settings
+	store    spar.Store
+	config   *config.Watch
+	place    *track.Owner
+	// member is unique to this process.
+	member string
+	// self is what the owner record will say.
+	self   link.Record
+	agents net.Listener
+
+	mu   sync.Mutex
+	term *term
+}
+
+// NewOwner returns a member of the election. Agents connect to the listener.
+func NewOwner(c common.Common, s Settings, st spar.Store, w *config.Watch, place *track.Owner, member string, self link.Record, agents net.Listener) *Owner {
+	return &Owner{Common: c, settings: s, store: st, config: w, place: place, member: member, self: self, agents: agents}
+}
+
+// Run takes part until the context ends, then gives the shard up, so that the
+// next owner begins at once.
+func (o *Owner) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	accepting := o.accept(ctx)
+	go func() {
+		o.elect(ctx)
+		o.end("stopped")
+		leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+		defer cancel()
+		err := o.store.Leave(leave, group, o.member)
+		if err != nil {
+			o.Warn("group not left", "err", err)
+		}
+		done <- <-accepting
+	}()
+	return done
+}
+
+// elect joins the group again and again, and follows what it says.
+func (o *Owner) elect(ctx context.Context) {
+	var generation int64
+	lost := false
+	for ctx.Err() == nil {
+		sent := steady.Now()
+		m, err := o.store.Join(ctx, spar.Member{Group: group, Name: o.member, Topic: link.OwnerTopic, TTL: o.settings.ttl(), Generation: generation})
+		switch {
+		case err != nil:
+			if !lost {
+				lost = true
+				o.Warn("term not renewed", "err", err)
+			}
+			o.expire()
+		default:
+			if lost {
+				lost = false
+				o.Info("group reached again", "generation", m.Generation)
+			}
+			generation = m.Generation
+			o.follow(ctx, m, sent+o.settings.ttl()-termMargin)
+		}
+		track.Pause(ctx, o.settings.join()-min(steady.Now()-sent, o.settings.join()*3/4))
+	}
+}
+
+// follow begins, extends or ends the term by what the group says.
+func (o *Owner) follow(ctx context.Context, m spar.Membership, until time.Duration) {
+	holds := slices.Contains(m.Parts, 0)
+	t := o.current()
+	switch {
+	case !holds && t != nil:
+		o.end("given to another")
+	case holds && t == nil:
+		o.begin(ctx, m.Generation, until)
+	case holds && t.failed():
+		o.end("fenced")
+		o.begin(ctx, m.Generation, until)
+	case holds:
+		t.extend(until)
+	}
+}
+
+func (o *Owner) begin(ctx context.Context, epoch int64, until time.Duration) {
+	t := newTerm(o, epoch, until)
+	o.mu.Lock()
+	o.term = t
+	o.mu.Unlock()
+	o.Info("term begins", "epoch", epoch)
+	o.Counter("terms").Inc(1)
+	t.start(ctx)
+}
+
+func (o *Owner) end(why string) {
+	o.mu.Lock()
+	t := o.term
+	o.term = nil
+	o.mu.Unlock()
+	if t != nil {
+		o.Info("term ends", "epoch", t.epoch, "why", why)
+		t.stop()
+	}
+}
+
+// expire ends a term that could not be renewed for so long that no more leases
+// may be granted.
+func (o *Owner) expire() {
+	if t := o.current(); t != nil && steady.Now() > t.until()+o.settings.grace() {
+		o.end("not renewed")
+	}
+}
+
+func (o *Owner) current() *term {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.term
+}
+
+// ghostWait is how long a new owner waits for a worker that it can't reach and
+// that may be under an earlier owner's grants.
+func (s Settings) ghostWait() time.Duration {
+	return s.ttl() + s.grace() + s.lease() + s.lease()/20
+}
+
+// accept takes connections of agents; without a term they are closed.
+func (o *Owner) accept(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		if err := o.agents.Close(); err != nil {
+			o.Warn("listener not closed", "err", err)
+		}
+	}()
+	go func() {
+		for {
+			conn, err := o.agents.Accept()
+			if ctx.Err() != nil {
+				done <- nil
+				return
+			}
+			if err != nil {
+				done <- errors.Wrap(err, "accept agents")
+				return
+			}
+			t := o.current()
+			if t == nil || !t.ready() {
+				conn.Close()
+				continue
+			}
+			go t.serve(conn)
+		}
+	}()
+	return done
+}
--- /dev/null
+++ b/entry/owner/settings.go
@@ -0,0 +1,29 @@
+package owner
+
+import "time"
+
+// Settings of the election and of what an owner does.
+type Settings struct {
+	// TTLMS is how long a member of the group may be silent.
+	TTLMS int64 `json:"ttl_ms" jsonschema:"minimum=1000,maximum=30000,description=time after which a silent owner is replaced in ms"`
+	// JoinMS is the interval of joins.
+	JoinMS int64 `json:"join_ms" jsonschema:"minimum=50,maximum=10000,description=interval at which an owner renews its term in ms"`
+	// LeaseMS is what a grant to an agent is worth.
+	LeaseMS int64 `json:"lease_ms" jsonschema:"minimum=500,maximum=60000,description=time for which a worker may run on after its agent last heard from the owner in ms"`
+	// GraceMS is how long an owner still grants leases when it can't renew its
+	// term.
+	GraceMS int64 `json:"grace_ms" jsonschema:"minimum=0,maximum=60000,description=time for which an owner that cannot renew its term still grants leases in ms"`
+	// KeepMS is how long an ended job stays readable.
+	KeepMS int64 `json:"keep_ms" jsonschema:"minimum=1000,maximum=86400000,description=time for which an ended job stays readable in ms"`
+}
+
+// DefaultSettings suit a store that answers within some milliseconds.
+func DefaultSettings() Settings {
+	return Settings{TTLMS: 2000, JoinMS: 400, LeaseMS: 5000, GraceMS: 5000, KeepMS: 150_000}
+}
+
+func (s Settings) ttl() time.Duration   { return time.Duration(s.TTLMS) * time.Millisecond }
+func (s Settings) join() time.Duration  { return time.Duration(s.JoinMS) * time.Millisecond }
+func (s Settings) lease() time.Duration { return time.Duration(s.LeaseMS) * time.Millisecond }
+func (s Settings) grace() time.Duration { return time.Duration(s.GraceMS) * time.Millisecond }
+func (s Settings) keep() time.Duration  { return time.Duration(s.KeepMS) * time.Millisecond }
--- /dev/null
+++ b/link/record.go
@@ -0,0 +1,38 @@
+package link
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// The topic and the key under which an owner tells where it is.
+const (
+	OwnerTopic = "owner"
+	OwnerKey   = "owner"
+)
+
+// Record tells where the owner of the shard is.
+type Record struct {
+	// Epoch is the owner's; the highest holds.
+	Epoch int64 `msgpack:"e"`
+	// Agents is the address that agents connect to.
+	Agents string `msgpack:"a"`
+	// Peers is the address that other entries ask.
+	Peers string `msgpack:"p"`
+}
+
+// Encode returns the stored form.
+func (r Record) Encode() []byte {
+	out, err := msgpack.Marshal(&r)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "owner record"))
+	}
+	return out
+}
+
+// DecodeRecord reads the stored form.
+func DecodeRecord(value []byte) (Record, error) {
+	var r Record
+	err := msgpack.Unmarshal(value, &r)
+	return r, errors.Wrap(err, "owner record")
+}
--- /dev/null
+++ b/shard/plan.go
@@ -0,0 +1,156 @@
+package shard
+
+import (
+	"slices"
+	"time"
+)
+
+// Plan claims places for tasks that may run. The claims take effect once they
+// are stored.
+func (c *Core) Plan(now time.Time) {
+	var steps []*step
+	for j := range c.active {
+		for _, o := range j.occurs {
+			for _, s := range o.steps {
+				if s.open > 0 && s.ready() {
+					steps = append(steps, s)
+				}
+			}
+		}
+	}
+	slices.SortFunc(steps, func(a, b *step) int { return c.compare(a, b, now) })
+	pool := c.pool(now)
+	for _, s := range steps {
+		c.planStep(s, pool, now)
+	}
+}
+
+// compare orders steps: standing ones first, then by priority, those that can
+// still meet their objective before those that cannot, and shorter jobs first.
+func (c *Core) compare(a, b *step, now time.Time) int {
+	if a.Standing != b.Standing {
+		return order(a.Standing, b.Standing)
+	}
+	if d := a.job.policy.Priority - b.job.policy.Priority; d != 0 {
+		return d
+	}
+	if la, lb := a.late(now), b.late(now); la != lb {
+		return order(lb, la)
+	}
+	if d := a.left() - b.left(); d != 0 {
+		return sign(int64(d))
+	}
+	if d := a.job.arrived.Compare(b.job.arrived); d != 0 {
+		return d
+	}
+	if a.job != b.job {
+		if a.job.ID < b.job.ID {
+			return -1
+		}
+		return 1
+	}
+	return a.index - b.index
+}
+
+// left estimates the work left in the step's occurrence.
+func (s *step) left() time.Duration {
+	var sum time.Duration
+	for _, o := range s.occur.steps {
+		sum += o.remaining()
+	}
+	return sum
+}
+
+// late tells whether the occurrence is past its objective.
+func (s *step) late(now time.Time) bool {
+	return now.After(s.occur.due.Add(s.objective()))
+}
+
+// objective is the time that an occurrence should take.
+func (s *step) objective() time.Duration {
+	p := s.job.policy
+	return time.Duration(p.Stretch*float64(s.occur.chain())) + p.Slack
+}
+
+func order(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+func sign(n int64) int {
+	switch {
+	case n < 0:
+		return -1
+	case n > 0:
+		return 1
+	}
+	return 0
+}
+
+// planStep places the waiting tasks of a step until one finds no place; the
+// others are like it.
+func (c *Core) planStep(s *step, pool []*candidate, now time.Time) {
+	if s.Gang {
+		c.planGang(s, pool, now)
+		return
+	}
+	for _, t := range s.tasks {
+		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+			continue
+		}
+		w := c.pick(t, pool, now)
+		if w == nil {
+			return
+		}
+		c.claim(t, w, t.last+1, now)
+	}
+}
+
+// planGang places all tasks of a gang, or none.
+func (c *Core) planGang(s *step, pool []*candidate, now time.Time) {
+	var last int64
+	for _, t := range s.tasks {
+		if len(t.runs) > 0 || now.Before(t.notBefore) {
+			return
+		}
+		last = max(last, t.last)
+	}
+	saved := s.tasks[0].saved
+	var claimed []*candidate
+	for _, t := range s.tasks {
+		w := c.pick(t, pool, now)
+		if w == nil {
+			for i, w := range claimed {
+				w.release(s)
+				c.unclaim(s.tasks[i])
+			}
+			return
+		}
+		t.saved = saved
+		c.claim(t, w, last+1, now)
+		claimed = append(claimed, w)
+	}
+}
+
+// claim puts a run of a task on a worker.
+func (c *Core) claim(t *task, w *candidate, number int64, now time.Time) {
+	r := &run{task: t, worker: w.worker, number: number, token: w.token, pace: 100, started: now, moved: now}
+	t.last = number
+	t.runs = append(t.runs, r)
+	w.worker.runs[r] = true
+	w.take(t.step)
+	c.orders = append(c.orders, r)
+	c.dirty(t.step.job)
+}
+
+// unclaim takes back a claim of this pass.
+func (c *Core) unclaim(t *task) {
+	r := t.runs[len(t.runs)-1]
+	c.free(r)
+	c.orders = slices.DeleteFunc(c.orders, func(o *run) bool { return o == r })
+}
