Fills keep away from the serving tasks that they disturb

Recorded rows show that a pair of a serving and a filling image either does no harm at any share, or drives the tail to many times the target from a sixth of the worker on.

--- a/shard/core.go
+++ b/shard/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/clash"
 	"github.com/cockroachdb/errors"
 )
 
@@ -38,6 +39,9 @@
 	paces  map[*run]bool
 	acks   map[*worker]int64
 	drops  []string
+	clash  clash.Model
+	// now is the time of the call in progress.
+	now    time.Time
 	events func(Event)
 }
 
@@ -155,6 +159,10 @@
 	delete(r.worker.runs, r)
 	delete(c.stops, r)
 	delete(c.paces, r)
+	if s := r.task.step; s.Fills && r.figure > 0 && r.worker.info.Size.CPUMilli > 0 {
+		part := float64(r.figure) / float64(r.worker.info.Size.CPUMilli)
+		r.worker.echoes = append(r.worker.echoes, echo{share: clash.Share{Image: s.Image, Part: part}, at: c.now})
+	}
 	for i, o := range r.task.runs {
 		if o == r {
 			r.task.runs = append(r.task.runs[:i], r.task.runs[i+1:]...)
@@ -204,6 +212,7 @@
 // Tick does what time brings: leases that end, occurrences that come due,
 // ended jobs that are forgotten. wall is the time of day.
 func (c *Core) Tick(now, wall time.Time) {
+	c.now = now
 	for _, w := range c.workers {
 		if w.token == 0 && now.After(w.expires) {
 			c.events(Event{What: "leases ended", Node: w.node})
--- a/shard/pick.go
+++ b/shard/pick.go
@@ -16,6 +16,10 @@
 // to use when fills are placed beside them.
 const servingShare = 0.6
 
+// pressureCost weighs pressure on serving tasks against room, when a worker
+// is chosen for a fill.
+const pressureCost = 2
+
 // pool returns the workers that may take tasks.
 func (c *Core) pool(now time.Time) []*candidate {
 	var out []*candidate
@@ -40,6 +44,16 @@
 			continue
 		}
 		v := w.value(t)
+		if s.Fills {
+			if now.Before(w.noFills) {
+				continue
+			}
+			p := c.pressureWith(w, s)
+			if p > maxPressure {
+				continue
+			}
+			v -= pressureCost * p
+		}
 		if best == nil || v > most {
 			best, most = w, v
 		}
@@ -78,11 +92,12 @@
 	}
 	switch {
 	case s.Standing:
-		// Serving tasks gather, so that fills find workers without any.
-		v += float64(w.serving)/whole - 1.5*float64(w.filling)/whole
-		v -= 0.5 * float64(w.ofStep(s))
+		// Serving tasks of one image gather, so that a fill that disturbs only
+		// some images finds workers without them.
+		same := w.servingImages[s.Image]
+		v += 2*float64(same)/whole - float64(w.serving-same)/whole - 0.5*float64(w.filling)/whole
 	case s.Fills:
-		v += float64(w.fillRoom())/whole - 2*float64(w.serving)/whole
+		v += float64(w.fillRoom()) / whole
 	default:
 		v += float64(w.info.Size.CPUMilli-w.reserved.CPUMilli)/whole - 0.5*float64(w.filling)/whole
 	}
@@ -100,11 +115,12 @@
 	w.reserved.Accelerators += n * s.Size.Accelerators
 	if s.Fills {
 		w.filling += n * s.Size.CPUMilli
-		w.fills += int(n)
+		w.fillImages[s.Image] += n * s.Size.CPUMilli
 		return
 	}
 	w.reserved.CPUMilli += n * s.Size.CPUMilli
 	if s.Standing {
 		w.serving += n * s.Size.CPUMilli
+		w.servingImages[s.Image] += n * s.Size.CPUMilli
 	}
 }
--- a/shard/report.go
+++ b/shard/report.go
@@ -74,6 +74,7 @@
 	if w == nil {
 		return
 	}
+	c.now = now
 	for _, r := range m.Running {
 		c.running(w, r, now)
 	}
@@ -86,6 +87,7 @@
 	if m.Listed {
 		c.reconcile(w, m.Running, now)
 	}
+	c.look(w, now)
 }
 
 // running takes a row of what runs. A run that is not wanted any more is
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -26,6 +26,10 @@
 	troubleAt time.Time
 	// asideUntil keeps work away for a while.
 	asideUntil time.Time
+	// looked is when the tails were last looked at, settled when they may be
+	// acted on again, and noFills until when no fill is placed.
+	looked, settled, noFills time.Time
+	echoes                   []echo
 	// gone says that the worker's life is over.
 	gone bool
 }
@@ -38,23 +42,25 @@
 	serving int64
 	// filling are the processors that fills ask for.
 	filling int64
-	fills   int
+	// servingImages and fillImages are the processors asked for by image.
+	servingImages, fillImages map[string]int64
 }
 
 func (w *worker) usage() usage {
-	var u usage
+	u := usage{servingImages: map[string]int64{}, fillImages: map[string]int64{}}
 	for r := range w.runs {
 		s := r.task.step
 		u.reserved.MemoryMB += s.Size.MemoryMB
 		u.reserved.Accelerators += s.Size.Accelerators
 		if s.Fills {
-			u.filling += s.Size.CPUMilli * int64(r.pace) / 100
-			u.fills++
+			u.filling += s.Size.CPUMilli
+			u.fillImages[s.Image] += s.Size.CPUMilli
 			continue
 		}
 		u.reserved.CPUMilli += s.Size.CPUMilli
 		if s.Standing {
 			u.serving += s.Size.CPUMilli
+			u.servingImages[s.Image] += s.Size.CPUMilli
 		}
 	}
 	return u
