--- a/clash/model.go
+++ b/clash/model.go
@@ -4,6 +4,8 @@
 // pure and knows no workers.
 package clash
 
+import "math"
+
 // Share is the part of a worker's processors that an image's fills use, 0 to 1.
 type Share struct {
 	Image string
@@ -33,9 +35,11 @@
 	leastSpread = 0.2
 	// noise is the variance of one observation; figures are rough.
 	noise = 0.02
-	// calm and over are the pressures that an observation under and over the
-	// target is taken to show at most and at least.
-	calm, over = 0.7, 1.3
+	// A tail under its target shows at most calmBase plus calmSlope times its
+	// level; one over it shows at least overBase plus overSlope times the
+	// logarithm of its level: from there on tails rise steeply.
+	calmBase, calmSlope = 0.2, 0.5
+	overBase, overSlope = 1.2, 0.3
 	// maxMean bounds an estimate: a tenth of a worker is then too much.
 	maxMean = 14
 	// leastShare is the share below which a fill tells nothing.
@@ -68,11 +72,10 @@
 // and the least certain ones move most.
 func (m *Model) Observe(serving string, fills []Share, level float64) {
 	want, sum := 0.0, m.Pressure(serving, fills)
-	switch {
-	case level > 1 && sum < over:
-		want = over - sum
-	case level <= 1 && sum > calm:
-		want = calm - sum
+	if level > 1 {
+		want = max(overBase+overSlope*math.Log(level)-sum, 0)
+	} else {
+		want = min(calmBase+calmSlope*level-sum, 0)
 	}
 	total := noise
 	for _, f := range fills {
