Fills past their objective run slowly where they would disturb

Change: a fill past its objective is placed at the pace that keeps the pressure under its limit, from a tenth on; paces rise as others leave. What is known of the images is stored with the progress.

--- a/shard/colo.go
+++ b/shard/colo.go
@@ -28,6 +28,11 @@
 	maxPressure = 0.8
 	// restPressure is the pressure that is left when fills are taken away.
 	restPressure = 0.5
+	// leastPace and latePace are the slowest paces, in percent, at which fills
+	// are placed; those past their objective accept a slower one.
+	leastPace, latePace = 100, 10
+	// paceStep is the least change of a pace, in percent.
+	paceStep = 20
 	// nearlyDone is the percentage from which a fill is left to finish.
 	nearlyDone = 85
 )
@@ -63,6 +68,7 @@
 		}
 		worst = max(worst, now.Sub(r.over))
 	}
+	c.quicken(w)
 	switch {
 	case worst >= harmLimit:
 		c.clear(w, now)
@@ -74,10 +80,9 @@
 // fillShares are the processors in use by each image's fills.
 func (w *worker) fillShares(now time.Time) []clash.Share {
 	parts := map[string]float64{}
-	whole := float64(max(w.info.Size.CPUMilli, 1))
 	for r := range w.runs {
 		if r.task.step.Fills && r.confirmed {
-			parts[r.task.step.Image] += float64(r.figure) / whole
+			parts[r.task.step.Image] += w.part(r.figure)
 		}
 	}
 	w.echoes = slices.DeleteFunc(w.echoes, func(e echo) bool { return now.Sub(e.at) > afterglow })
@@ -92,41 +97,89 @@
 	return out
 }
 
-// relieve takes away the fills that press most on a serving task over its
-// target, until the rest presses little.
+// relieve takes weight off the serving tasks over their targets: the fills that
+// press most go to another worker where one will have them, and are slowed
+// down otherwise, until the rest presses little.
 func (c *Core) relieve(w *worker, now time.Time) {
+	pool := c.pool(now)
 	for r := range w.runs {
 		if r.over.IsZero() {
 			continue
 		}
 		serving := r.task.step.Image
-		var fills []*run
-		var sum float64
-		for f := range w.runs {
-			if f.task.step.Fills && !f.stopping {
-				fills = append(fills, f)
-				sum += c.pressure(serving, f)
-			}
-		}
-		slices.SortFunc(fills, func(a, b *run) int {
-			if d := cmp.Compare(c.pressure(serving, b), c.pressure(serving, a)); d != 0 {
-				return d
-			}
-			return cmp.Compare(a.task.ref().String(), b.task.ref().String())
-		})
+		fills, sum := c.pressing(w, serving)
 		for _, f := range fills {
 			if sum <= restPressure {
 				break
 			}
-			sum -= c.pressure(serving, f)
-			if f.percent < nearlyDone {
+			own := c.pressure(serving, f)
+			sum -= own
+			if f.percent >= nearlyDone {
+				continue
+			}
+			if c.elsewhere(f, pool, now) {
 				c.evict(f, "disturbs "+serving, now)
+				continue
 			}
+			c.setPace(f, max(int(100*(restPressure-sum)/own)/10*10, 0))
 		}
 	}
 	w.settled = now.Add(settleTime)
 }
 
+// pressing returns a worker's fills, those that press most first, and the sum
+// of what they press.
+func (c *Core) pressing(w *worker, serving string) ([]*run, float64) {
+	var fills []*run
+	var sum float64
+	for f := range w.runs {
+		if f.task.step.Fills && !f.stopping {
+			fills = append(fills, f)
+			sum += c.pressure(serving, f)
+		}
+	}
+	slices.SortFunc(fills, func(a, b *run) int {
+		if d := cmp.Compare(c.pressure(serving, b), c.pressure(serving, a)); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.task.ref().String(), b.task.ref().String())
+	})
+	return fills, sum
+}
+
+// elsewhere tells whether another worker would take a fill at full pace.
+func (c *Core) elsewhere(f *run, pool []*candidate, now time.Time) bool {
+	for _, w := range pool {
+		if w.worker != f.worker && c.accepts(w, f.task, now) && c.paceWith(w, f.task.step) >= 100 {
+			return true
+		}
+	}
+	return false
+}
+
+// setPace orders a run to work at a share of its speed.
+func (c *Core) setPace(r *run, percent int) {
+	percent = min(max(percent, 0), 100)
+	if r.pace != percent {
+		r.pace = percent
+		c.paces[r] = true
+	}
+}
+
+// quicken lets slowed fills work faster as far as the pressure allows.
+func (c *Core) quicken(w *worker) {
+	for f := range w.runs {
+		if !f.task.step.Fills || f.pace >= 100 || f.stopping {
+			continue
+		}
+		o := &candidate{worker: w, usage: w.usage()}
+		o.fillImages[f.task.step.Image] -= f.task.step.Size.CPUMilli * int64(f.pace) / 100
+		if p := c.paceWith(o, f.task.step); p >= f.pace+paceStep || p >= 100 {
+			c.setPace(f, p)
+		}
+	}
+}
+
 // clear takes away all fills of a worker.
 func (c *Core) clear(w *worker, now time.Time) {
 	for r := range w.runs {
@@ -148,19 +201,40 @@
 
 // pressure is what a fill's run presses on a serving image.
 func (c *Core) pressure(serving string, r *run) float64 {
-	whole := float64(max(r.worker.info.Size.CPUMilli, 1))
-	return c.clash.Of(serving, clash.Share{Image: r.task.step.Image, Part: float64(max(r.figure, r.task.step.Size.CPUMilli/2)) / whole})
+	asked := r.task.step.Size.CPUMilli * int64(r.pace) / 100
+	return c.clash.Of(serving, clash.Share{Image: r.task.step.Image, Part: r.worker.part(max(r.figure, asked/2))})
+}
+
+// part is what some processors are of a worker's.
+func (w *worker) part(milli int64) float64 {
+	return float64(milli) / float64(max(w.info.Size.CPUMilli, 1))
+}
+
+// paceWith is the pace, in percent, at which a fill of a step can work beside
+// what is booked on a worker without pressing any serving task over its limit.
+func (c *Core) paceWith(w *candidate, s *step) int {
+	pace := 1.0
+	for serving := range w.servingImages {
+		own := c.clash.Of(serving, clash.Share{Image: s.Image, Part: w.part(s.Size.CPUMilli)})
+		var others float64
+		for image, milli := range w.fillImages {
+			others += c.clash.Of(serving, clash.Share{Image: image, Part: w.part(milli)})
+		}
+		if own > 0 {
+			pace = min(pace, (maxPressure-others)/own)
+		}
+	}
+	return max(int(pace*10), 0) * 10
 }
 
 // pressureWith is the highest pressure on a serving task of a worker if a fill
-// of a step comes to those that are booked there.
-func (c *Core) pressureWith(w *candidate, s *step) float64 {
-	whole := float64(max(w.info.Size.CPUMilli, 1))
+// of a step comes to those that are booked there at a pace.
+func (c *Core) pressureWith(w *candidate, s *step, pace int) float64 {
 	var most float64
 	for serving := range w.servingImages {
-		sum := c.clash.Of(serving, clash.Share{Image: s.Image, Part: float64(s.Size.CPUMilli) / whole})
+		sum := c.clash.Of(serving, clash.Share{Image: s.Image, Part: w.part(s.Size.CPUMilli * int64(pace) / 100)})
 		for image, milli := range w.fillImages {
-			sum += c.clash.Of(serving, clash.Share{Image: image, Part: float64(milli) / whole})
+			sum += c.clash.Of(serving, clash.Share{Image: image, Part: w.part(milli)})
 		}
 		most = max(most, sum)
 	}
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -1,12 +1,23 @@
 package shard
 
 import (
+	"bytes"
+	"time"
+
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/link"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+const (
+	// modelKey is the key of what is known of the images; no job's ID has a
+	// hash sign.
+	modelKey = "#clash"
+	// learnEvery bounds how often that is stored.
+	learnEvery = 2 * time.Second
+)
+
 // Commit is what has to be stored before its effects may be seen.
 type Commit struct {
 	// Records go to the progress topic.
@@ -34,6 +45,13 @@
 	for _, id := range c.drops {
 		out.Records = append(out.Records, spar.Record{Key: id})
 	}
+	if c.clash.Known() > 0 && c.now.Sub(c.learned) >= learnEvery {
+		if v := c.clash.Encode(); !bytes.Equal(v, c.model) {
+			out.Records = append(out.Records, spar.Record{Key: modelKey, Value: v})
+			c.model = v
+		}
+		c.learned = c.now
+	}
 	c.changed, c.orders, c.acks, c.drops = map[*job]bool{}, nil, map[*worker]int64{}, nil
 	return out
 }
--- a/shard/core.go
+++ b/shard/core.go
@@ -40,6 +40,9 @@
 	acks   map[*worker]int64
 	drops  []string
 	clash  clash.Model
+	// model is what was last stored of it, and learned when.
+	model   []byte
+	learned time.Time
 	// now is the time of the call in progress.
 	now    time.Time
 	events func(Event)
--- a/shard/pick.go
+++ b/shard/pick.go
@@ -20,6 +20,9 @@
 // is chosen for a fill.
 const pressureCost = 2
 
+// slowCost weighs a slower pace against room.
+const slowCost = 3
+
 // pool returns the workers that may take tasks.
 func (c *Core) pool(now time.Time) []*candidate {
 	var out []*candidate
@@ -34,31 +37,47 @@
 	return out
 }
 
-// pick returns the best worker for a task, or nil.
-func (c *Core) pick(t *task, pool []*candidate, now time.Time) *candidate {
-	s := t.step
-	var best *candidate
+// place is where a task may run, and at which pace in percent.
+type place struct {
+	*candidate
+	pace int
+}
+
+// pick returns the best place for a task, or none.
+func (c *Core) pick(t *task, pool []*candidate, now time.Time) (place, bool) {
+	var best place
 	var most float64
 	for _, w := range pool {
-		if w.info.Service != s.job.policy.Service || !w.fits(s) || !w.allows(s) {
+		if !c.accepts(w, t, now) {
 			continue
 		}
-		v := w.value(t)
-		if s.Fills {
-			if now.Before(w.noFills) {
-				continue
-			}
-			p := c.pressureWith(w, s)
-			if p > maxPressure {
+		pace, v := 100, w.value(t)
+		if t.step.Fills {
+			pace = c.paceWith(w, t.step)
+			if pace < t.leastPace(now) {
 				continue
 			}
-			v -= pressureCost * p
+			v -= pressureCost*c.pressureWith(w, t.step, pace) + slowCost*float64(100-pace)/100
 		}
-		if best == nil || v > most {
-			best, most = w, v
+		if best.candidate == nil || v > most {
+			best, most = place{w, pace}, v
 		}
 	}
-	return best
+	return best, best.candidate != nil
+}
+
+// accepts tells whether a worker may take a task.
+func (c *Core) accepts(w *candidate, t *task, now time.Time) bool {
+	s := t.step
+	return w.info.Service == s.job.policy.Service && w.fits(s) && w.allows(s) && (!s.Fills || !now.Before(w.noFills))
+}
+
+// leastPace is the slowest pace that a fill accepts.
+func (t *task) leastPace(now time.Time) int {
+	if t.step.late(now) {
+		return latePace
+	}
+	return leastPace
 }
 
 // fits tells whether the worker has room for a task of a step.
@@ -105,17 +124,18 @@
 }
 
 // take books a task of a step.
-func (w *candidate) take(s *step) { w.book(s, 1) }
+func (w place) take(s *step) { w.book(s, 1) }
 
 // release takes a booking back.
-func (w *candidate) release(s *step) { w.book(s, -1) }
+func (w place) release(s *step) { w.book(s, -1) }
 
-func (w *candidate) book(s *step, n int64) {
+func (w place) book(s *step, n int64) {
 	w.reserved.MemoryMB += n * s.Size.MemoryMB
 	w.reserved.Accelerators += n * s.Size.Accelerators
 	if s.Fills {
-		w.filling += n * s.Size.CPUMilli
-		w.fillImages[s.Image] += n * s.Size.CPUMilli
+		milli := n * s.Size.CPUMilli * int64(w.pace) / 100
+		w.filling += milli
+		w.fillImages[s.Image] += milli
 		return
 	}
 	w.reserved.CPUMilli += n * s.Size.CPUMilli
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -103,8 +103,8 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
 			continue
 		}
-		w := c.pick(t, pool, now)
-		if w == nil {
+		w, ok := c.pick(t, pool, now)
+		if !ok {
 			return
 		}
 		c.claim(t, w, t.last+1, now)
@@ -121,10 +121,10 @@
 		last = max(last, t.last)
 	}
 	saved := s.tasks[0].saved
-	var claimed []*candidate
+	var claimed []place
 	for _, t := range s.tasks {
-		w := c.pick(t, pool, now)
-		if w == nil {
+		w, ok := c.pick(t, pool, now)
+		if !ok {
 			for i, w := range claimed {
 				w.release(s)
 				c.unclaim(s.tasks[i])
@@ -138,8 +138,8 @@
 }
 
 // claim puts a run of a task on a worker.
-func (c *Core) claim(t *task, w *candidate, number int64, now time.Time) {
-	r := &run{task: t, worker: w.worker, number: number, token: w.token, pace: 100, started: now, moved: now}
+func (c *Core) claim(t *task, w place, number int64, now time.Time) {
+	r := &run{task: t, worker: w.worker, number: number, token: w.token, pace: w.pace, started: now, moved: now}
 	t.last = number
 	t.runs = append(t.runs, r)
 	w.worker.runs[r] = true
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/clash"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -78,9 +79,16 @@
 	return out
 }
 
-// Restore takes over a job's stored progress. Runs that it names count as
+// Restore takes over a record of the stored progress. Runs that it names count as
 // being on their workers until these answer, or until expires.
 func (c *Core) Restore(id string, value []byte, now, expires time.Time) error {
+	if id == modelKey {
+		m, err := clash.Decode(value)
+		if err == nil {
+			c.clash, c.model = m, value
+		}
+		return err
+	}
 	j := c.jobs[id]
 	if j == nil {
 		return errors.Newf("progress of job %s, which is not known", id)
--- a/shard/report.go
+++ b/shard/report.go
@@ -143,6 +143,10 @@
 func (c *Core) confirm(r *run, now time.Time) {
 	if !r.confirmed {
 		r.confirmed, r.started, r.moved = true, now, now
+		if r.pace != 100 {
+			// A run begins at full speed.
+			c.paces[r] = true
+		}
 	}
 	r.ordered, r.token = true, r.worker.token
 	j := r.task.step.job
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -53,8 +53,9 @@
 		u.reserved.MemoryMB += s.Size.MemoryMB
 		u.reserved.Accelerators += s.Size.Accelerators
 		if s.Fills {
-			u.filling += s.Size.CPUMilli
-			u.fillImages[s.Image] += s.Size.CPUMilli
+			milli := s.Size.CPUMilli * int64(r.pace) / 100
+			u.filling += milli
+			u.fillImages[s.Image] += milli
 			continue
 		}
 		u.reserved.CPUMilli += s.Size.CPUMilli
