Random runs of real owners and agents; three faults that they found

Cause 3: an end of the last life, stored late, was acknowledged to the new one, whose numbers begin anew.

Change: epochs count the terms within a generation; runs are inherited by a life of the same name until it is listed under the new token; ends are acknowledged to the life that told them.

The stand-in's own record was mended on the way: it counted failures that nobody could know of, and leases without their longest time.

--- a/agent/batch/app.go
+++ b/agent/batch/app.go
@@ -60,7 +60,7 @@
 		func() hand.Format { return hand.Format{Path: platform.HeartbeatPath, Decode: decodeHeartbeat} },
 		hand.NewBeats,
 		func(c common.Common, b *hand.Beats, w spar.Worker, st spar.Store) *hand.Hand {
-			return hand.NewHand(c, s.Name, b, w, st)
+			return hand.NewHand(c, s.Name, b, w, st, hand.DialTCP)
 		},
 		func(p parts) *daemon { return &daemon{Common: p.Base.Common, parts: p} },
 	} {
--- a/agent/hand/beats.go
+++ b/agent/hand/beats.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/common"
@@ -33,8 +32,6 @@
 
 	mu     sync.Mutex
 	last   *Report
-	seen   time.Time
-	left   bool
 	change chan struct{}
 }
 
@@ -68,14 +65,14 @@
 		c.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	if !b.accept(r) {
+	if !b.Take(r) {
 		b.Info("heartbeat of the past dropped", "worker", id, "born", r.Info.Life.Born, "seq", r.Seq)
 		b.Counter("heartbeats_late").Inc(1)
 	}
 }
 
-// accept takes a heartbeat unless it is older than the last.
-func (b *Beats) accept(r Report) bool {
+// Take takes a heartbeat unless it is older than the last.
+func (b *Beats) Take(r Report) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.last
@@ -84,7 +81,7 @@
 			return false
 		}
 	}
-	b.last, b.seen = &r, time.Now()
+	b.last = &r
 	if old == nil || old.Info.Life != r.Info.Life || old.Info.Draining != r.Info.Draining || old.Info.Size != r.Info.Size {
 		b.Info("worker reports", "worker", r.Info.Life.ID, "born", r.Info.Life.Born, "draining", r.Info.Draining, "size", r.Info.Size)
 		select {
--- a/agent/hand/hand.go
+++ b/agent/hand/hand.go
@@ -26,6 +26,15 @@
 	ownerWait = 3 * time.Second
 )
 
+// Dial connects to an owner.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP connects over TCP.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: connectLimit}
+	return d.DialContext(ctx, "tcp4", address)
+}
+
 // Hand serves the owner of the shard, one session after the other.
 type Hand struct {
 	common.Common
@@ -33,13 +42,14 @@
 	beats  *Beats
 	worker spar.Worker
 	place  *track.Owner
+	dial   Dial
 	// epoch is the highest of the owners served.
 	epoch int64
 }
 
 // NewHand returns the hand of a node.
-func NewHand(c common.Common, node string, b *Beats, w spar.Worker, s spar.Store) *Hand {
-	return &Hand{Common: c, node: node, beats: b, worker: w, place: track.NewOwner(s, ownerWait, func(err error) {
+func NewHand(c common.Common, node string, b *Beats, w spar.Worker, s spar.Store, d Dial) *Hand {
+	return &Hand{Common: c, node: node, beats: b, worker: w, dial: d, place: track.NewOwner(s, ownerWait, func(err error) {
 		c.Warn("owner's place not readable", "err", err)
 	})}
 }
@@ -78,8 +88,7 @@
 	if at == nil || beat == nil {
 		return nil
 	}
-	d := net.Dialer{Timeout: connectLimit}
-	c, err := d.DialContext(ctx, "tcp4", at.Agents)
+	c, err := h.dial(ctx, at.Agents)
 	if err != nil {
 		return errors.Wrap(err, "connect to the owner")
 	}
--- a/entry/batch/app.go
+++ b/entry/batch/app.go
@@ -20,6 +20,7 @@
 	"github.com/berylspar/spar/entry/owner"
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/platform"
+	"github.com/berylspar/spar/steady"
 	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/dig"
@@ -74,8 +75,8 @@
 		func(c common.Common, st spar.Store) *track.Owner {
 			return track.NewOwner(st, placeWait, func(err error) { c.Warn("owner's place not readable", "err", err) })
 		},
-		func(c common.Common, st spar.Store, w *config.Watch, p *track.Owner, l *listeners) *owner.Owner {
-			return owner.NewOwner(c, s.Owner, st, w, p, newMember(s.Name), link.Record{Agents: s.Agents, Peers: s.Admin}, l.agents)
+		func(c common.Common, st spar.Store, w *config.Watch, l *listeners) *owner.Owner {
+			return owner.NewOwner(c, s.Owner, st, w, newMember(s.Name), link.Record{Agents: s.Agents, Peers: s.Admin}, l.agents, steady.Now)
 		},
 		owner.NewAsker,
 		func(o *owner.Owner, a *owner.Asker) desk.Jobs { return jobs{o, a} },
--- a/entry/owner/ask.go
+++ b/entry/owner/ask.go
@@ -63,6 +63,24 @@
 	return r.Waiting, err
 }
 
+// serving returns the term if it may answer questions.
+func (o *Owner) serving() *term {
+	if t := o.current(); t != nil && t.ready() && t.holds() {
+		return t
+	}
+	return nil
+}
+
+// Local answers a question for a job's state without asking another entry.
+func (o *Owner) Local(id string) (shard.State, bool, error) {
+	t := o.serving()
+	if t == nil {
+		return "", false, ErrAway
+	}
+	r, err := t.stateOf(id)
+	return r.State, r.Known, err
+}
+
 func (t *term) stateOf(id string) (reply, error) {
 	t.coreMu.Lock()
 	defer t.coreMu.Unlock()
@@ -80,7 +98,7 @@
 }
 
 func (a *Asker) ask(ctx context.Context, path string, local func(*term) (reply, error)) (reply, error) {
-	if t := a.owner.current(); t != nil && t.ready() && t.holds() {
+	if t := a.owner.serving(); t != nil {
 		return local(t)
 	}
 	at := a.place.Load()
@@ -118,8 +136,8 @@
 }
 
 func (o *Owner) answer(c *fasthttp.RequestCtx, local func(*term) (reply, error)) {
-	t := o.current()
-	if t == nil || !t.ready() || !t.holds() {
+	t := o.serving()
+	if t == nil {
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -11,7 +11,6 @@
 	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/entry/config"
 	"github.com/berylspar/spar/link"
-	"github.com/berylspar/spar/steady"
 	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
 )
@@ -35,20 +34,23 @@
 	settings Settings
 	store    spar.Store
 	config   *config.Watch
-	place    *track.Owner
 	// member is unique to this process.
 	member string
 	// self is what the owner record will say.
 	self   link.Record
 	agents net.Listener
+	// clock is steady time, which goes on while the instance is suspended.
+	clock func() time.Duration
 
 	mu   sync.Mutex
 	term *term
+	// last is the epoch of the last term.
+	last int64
 }
 
 // NewOwner returns a member of the election. Agents connect to the listener.
-func NewOwner(c common.Common, s Settings, st spar.Store, w *config.Watch, place *track.Owner, member string, self link.Record, agents net.Listener) *Owner {
-	return &Owner{Common: c, settings: s, store: st, config: w, place: place, member: member, self: self, agents: agents}
+func NewOwner(c common.Common, s Settings, st spar.Store, w *config.Watch, member string, self link.Record, agents net.Listener, clock func() time.Duration) *Owner {
+	return &Owner{Common: c, settings: s, store: st, config: w, member: member, self: self, agents: agents, clock: clock}
 }
 
 // Run takes part until the context ends, then gives the shard up, so that the
@@ -75,7 +77,7 @@
 	var generation int64
 	lost := false
 	for ctx.Err() == nil {
-		sent := steady.Now()
+		sent := o.clock()
 		m, err := o.store.Join(ctx, spar.Member{Group: group, Name: o.member, Topic: link.OwnerTopic, TTL: o.settings.ttl(), Generation: generation})
 		switch {
 		case err != nil:
@@ -92,7 +94,7 @@
 			generation = m.Generation
 			o.follow(ctx, m, sent+o.settings.ttl()-termMargin)
 		}
-		track.Pause(ctx, o.settings.join()-min(steady.Now()-sent, o.settings.join()*3/4))
+		track.Pause(ctx, o.settings.join()-min(o.clock()-sent, o.settings.join()*3/4))
 	}
 }
 
@@ -113,7 +115,14 @@
 	}
 }
 
-func (o *Owner) begin(ctx context.Context, epoch int64, until time.Duration) {
+// termBits are the bits of an epoch that count the terms within a generation.
+// A term that begins again in the same generation needs an epoch of its own: its
+// sequence numbers begin anew, and the store would take them for repeats.
+const termBits = 8
+
+func (o *Owner) begin(ctx context.Context, generation int64, until time.Duration) {
+	epoch := max(generation<<termBits, o.last+1)
+	o.last = epoch
 	t := newTerm(o, epoch, until)
 	o.mu.Lock()
 	o.term = t
@@ -137,7 +146,7 @@
 // expire ends a term that could not be renewed for so long that no more leases
 // may be granted.
 func (o *Owner) expire() {
-	if t := o.current(); t != nil && steady.Now() > t.until()+o.settings.grace() {
+	if t := o.current(); t != nil && o.clock() > t.until()+o.settings.grace() {
 		o.end("not renewed")
 	}
 }
--- a/entry/owner/settings.go
+++ b/entry/owner/settings.go
@@ -10,6 +10,8 @@
 	JoinMS int64 `json:"join_ms" jsonschema:"minimum=50,maximum=10000,description=interval at which an owner renews its term in ms"`
 	// LeaseMS is what a grant to an agent is worth.
 	LeaseMS int64 `json:"lease_ms" jsonschema:"minimum=500,maximum=60000,description=time for which a worker may run on after its agent last heard from the owner in ms"`
+	// MaxLeaseMS is the longest lease that workers accept.
+	MaxLeaseMS int64 `json:"max_lease_ms" jsonschema:"minimum=500,maximum=600000,description=longest lease that workers accept in ms"`
 	// GraceMS is how long an owner still grants leases when it can't renew its
 	// term.
 	GraceMS int64 `json:"grace_ms" jsonschema:"minimum=0,maximum=60000,description=time for which an owner that cannot renew its term still grants leases in ms"`
@@ -19,11 +21,12 @@
 
 // DefaultSettings suit a store that answers within some milliseconds.
 func DefaultSettings() Settings {
-	return Settings{TTLMS: 2000, JoinMS: 400, LeaseMS: 5000, GraceMS: 5000, KeepMS: 150_000}
+	return Settings{TTLMS: 2000, JoinMS: 400, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, KeepMS: 150_000}
 }
 
 func (s Settings) ttl() time.Duration   { return time.Duration(s.TTLMS) * time.Millisecond }
 func (s Settings) join() time.Duration  { return time.Duration(s.JoinMS) * time.Millisecond }
 func (s Settings) lease() time.Duration { return time.Duration(s.LeaseMS) * time.Millisecond }
 func (s Settings) grace() time.Duration { return time.Duration(s.GraceMS) * time.Millisecond }
+func (s Settings) most() time.Duration  { return time.Duration(s.MaxLeaseMS) * time.Millisecond }
 func (s Settings) keep() time.Duration  { return time.Duration(s.KeepMS) * time.Millisecond }
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -10,7 +10,6 @@
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/shard"
-	"github.com/berylspar/spar/steady"
 	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
 )
@@ -61,7 +60,7 @@
 
 func newTerm(o *Owner, epoch int64, until time.Duration) *term {
 	t := &term{Owner: o, epoch: epoch, wake: make(chan struct{}, 1), ended: make(chan struct{}), sessions: map[string]*session{}}
-	t.core = shard.NewCore(shard.Limits{Lease: o.settings.lease(), Keep: o.settings.keep()}, t.note)
+	t.core = shard.NewCore(shard.Limits{Lease: o.settings.lease(), MaxLease: o.settings.most(), Keep: o.settings.keep()}, t.note)
 	t.jobs = &track.Topic{
 		Store: o.store, Name: JobsTopic, Wait: jobsWait, Reset: t.read, Apply: t.read,
 		Failed: func(err error) { t.Warn("jobs not readable", "err", err) },
@@ -81,11 +80,11 @@
 func (t *term) until() time.Duration { return time.Duration(t.expiry.Load()) }
 
 // holds tells whether orders may be given.
-func (t *term) holds() bool { return !t.broken.Load() && steady.Now() < t.until() }
+func (t *term) holds() bool { return !t.broken.Load() && t.clock() < t.until() }
 
 // grants tells whether leases may be granted.
 func (t *term) grants() bool {
-	return !t.broken.Load() && t.ctx.Err() == nil && steady.Now() < t.until()+t.settings.grace()
+	return !t.broken.Load() && t.ctx.Err() == nil && t.clock() < t.until()+t.settings.grace()
 }
 
 func (t *term) failed() bool { return t.broken.Load() }
--- /dev/null
+++ b/prove/world/net_test.go
@@ -0,0 +1,127 @@
+package world_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// network joins agents and owners in one process. A connection that has lost
+// bytes to a cut stays silent for good, without a reset.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	cut       map[string]bool
+}
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*listener{}, cut: map[string]bool{}}
+}
+
+// setCut cuts one end off from everybody, or joins it again.
+func (n *network) setCut(end string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[end] = cut
+}
+
+func (n *network) isCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[a] || n.cut[b]
+}
+
+type listener struct {
+	net     *network
+	name    string
+	accepts chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (n *network) listen(name string) *listener {
+	l := &listener{net: n, name: name, accepts: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[name] = l
+	return l
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepts:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// dialer connects an end to listeners.
+func (n *network) dialer(from string) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		n.mu.Lock()
+		l := n.listeners[to]
+		n.mu.Unlock()
+		if l == nil || n.isCut(from, to) {
+			wait(ctx, 300*time.Millisecond)
+			return nil, errors.New("connect: no answer")
+		}
+		a, b := net.Pipe()
+		state := &wire{net: n, a: from, b: to}
+		select {
+		case l.accepts <- &conn{Conn: b, wire: state}:
+			return &conn{Conn: a, wire: state}, nil
+		case <-l.closed:
+			return nil, errors.New("connect: refused")
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// wire is what both ends of a connection share.
+type wire struct {
+	net    *network
+	a, b   string
+	mu     sync.Mutex
+	silent bool
+}
+
+func (w *wire) isSilent() bool {
+	cut := w.net.isCut(w.a, w.b)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = w.silent || cut
+	return w.silent
+}
+
+type conn struct {
+	net.Conn
+	wire *wire
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.wire.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/shard/bench_test.go
+++ b/shard/bench_test.go
@@ -22,7 +22,7 @@
 	limit shard.Limits
 }
 
-var limits = shard.Limits{Lease: 5 * time.Second, Keep: time.Minute}
+var limits = shard.Limits{Lease: 5 * time.Second, MaxLease: 6 * time.Second, Keep: time.Minute}
 
 func newWorld(t *testing.T) *world {
 	w := &world{T: t, now: time.Unix(1000, 0), tokens: map[string]int64{}, jobs: map[string][]byte{}, state: map[string][]byte{}, limit: limits}
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -68,6 +68,10 @@
 		}
 	}
 	for w, n := range m.acks {
+		if w.gone {
+			// The numbers of a new life's ends begin anew.
+			continue
+		}
 		if n > w.acked {
 			w.acked = n
 		}
--- a/shard/core.go
+++ b/shard/core.go
@@ -13,10 +13,10 @@
 type Limits struct {
 	// Lease is what a grant is worth on the agent's clock.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker accepts.
+	MaxLease time.Duration
 	// Keep is how long an ended job stays readable.
 	Keep time.Duration
-	// Early is how much before its time an occurrence may start.
-	Early time.Duration
 }
 
 // Core is the state of a shard. Its methods are called by one goroutine at a
--- a/shard/core_test.go
+++ b/shard/core_test.go
@@ -121,7 +121,45 @@
 		w.pass(limits.Lease/50 + 60*time.Millisecond)
 		w.expectStarts(w.turn(), 1)
 	}},
-	{"a new life of a worker frees what the last one ran at once", func(w *world) {
+	{"a new life of another name frees what the last one ran at once", func(w *world) {
+		w.worker("n1")
+		w.submit("j1", "checks", check(1))
+		w.expectStarts(w.turn(), 1)
+		w.life("n1", spar.Life{ID: "i-other", Born: 2})
+		if o := w.expectStarts(w.turn(), 1)[0]; o.Run != 2 {
+			w.Fatalf("run %d is ordered, want 2", o.Run)
+		}
+	}},
+	{"a new life of the same name keeps what was ordered until it is listed", func(w *world) {
+		w.worker("n1")
+		w.submit("j1", "checks", check(2))
+		all := w.expectStarts(w.turn(), 2)
+		w.worker("n2")
+		w.core.Connect("n1", info(spar.Life{ID: "i-n1", Born: 2}), 99, w.now)
+		w.tokens["n1"] = 99
+		w.expectStarts(w.turn(), 0)
+		w.core.Disconnect("n1", 99)
+		w.pass(12 * time.Second)
+		w.expectStarts(w.turn(), 0)
+		w.core.Connect("n1", info(spar.Life{ID: "i-n1", Born: 2}), 100, w.now)
+		w.tokens["n1"] = 100
+		// The first order came late and was carried out in the new life.
+		w.report("n1", &link.Up{Listed: true, Running: []spar.Running{{Task: all[0].Task, Run: 1}}})
+		if o := w.expectStarts(w.turn(), 1)[0]; o.Task != all[1].Task || o.Run != 2 {
+			w.Fatalf("%+v is ordered", o)
+		}
+	}},
+	{"an end of the last life is not acknowledged to the new one", func(w *world) {
+		w.worker("n1")
+		w.submit("j1", "checks", check(1))
+		a := w.expectStarts(w.turn(), 1)[0]
+		w.report("n1", ended(7, a, spar.EndDone))
+		w.life("n1", spar.Life{ID: "i-n1", Born: 2})
+		if m := w.turn(); m["n1"] != nil && m["n1"].Acked != 0 {
+			w.Fatalf("end %d is acknowledged", m["n1"].Acked)
+		}
+	}},
+	{"a third life starts again what the second lost", func(w *world) {
 		w.worker("n1")
 		w.submit("j1", "checks", check(1))
 		w.expectStarts(w.turn(), 1)
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -129,15 +129,16 @@
 			w = &worker{node: rp.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, expires: expires}
 			c.workers[rp.Node] = w
 		}
-		if w.info.Life != life {
+		if w.info.Life != life && w.info.Life.ID != life.ID {
 			if w.info.Life.Born > life.Born {
 				continue
 			}
-			// A later life of the same worker: what ran in the earlier is over.
+			// A later life of another name: what ran in the earlier is over.
 			c.endLife(w)
 			w = &worker{node: rp.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, expires: expires}
 			c.workers[rp.Node] = w
 		}
+		w.info.Life.Born = max(w.info.Life.Born, life.Born)
 		r := &run{task: t, worker: w, number: rp.Number, ordered: true, pace: 100, started: expires, moved: expires}
 		t.runs = append(t.runs, r)
 		w.runs[r] = true
--- a/shard/report.go
+++ b/shard/report.go
@@ -8,21 +8,44 @@
 	"github.com/berylspar/spar/link"
 )
 
+// lateOrder is the longest that the platform may take to carry out an order
+// that it did not answer.
+const lateOrder = 12 * time.Second
+
 // Connect opens a session with a worker's agent. Until the session has listed
-// what is on the worker, nothing is placed there, and no lease is granted. Of a worker in a new life all
-// that ran in the last one is over.
+// what is on the worker, nothing is placed there, and no lease is granted.
+//
+// In a new life of a worker nothing of the last one runs. But where the name is
+// the same, an order to the last life may still come late and be carried out in
+// the new one, under a lease as long as there is; so what was on the worker
+// stays there until the new life has been listed under the session's token.
 func (c *Core) Connect(node string, info spar.WorkerInfo, token int64, now time.Time) {
-	w := c.workers[node]
-	if w != nil && w.info.Life != info.Life {
-		c.events(Event{What: "worker in a new life", Node: node, Reason: info.Life.ID})
-		c.endLife(w)
-		w = nil
+	old := c.workers[node]
+	if old != nil && old.info.Life == info.Life {
+		old.info, old.token, old.listed = info, token, false
+		return
 	}
-	if w == nil {
-		w = &worker{node: node, runs: map[*run]bool{}, troubleAt: now}
-		c.workers[node] = w
+	w := &worker{node: node, info: info, token: token, runs: map[*run]bool{}, troubleAt: now}
+	if old != nil {
+		c.events(Event{What: "worker in a new life", Node: node, Reason: info.Life.ID})
+		if old.info.Life.ID == info.Life.ID {
+			w.renamed = true
+			w.expires = now.Add(lateOrder + c.limits.MaxLease + ClockSlack(c.limits.MaxLease))
+			c.inherit(w, old)
+		}
+		c.endLife(old)
 	}
-	w.info, w.token, w.listed = info, token, false
+	c.workers[node] = w
+}
+
+// inherit moves the runs of a worker's last life to its new one.
+func (c *Core) inherit(w, old *worker) {
+	for r := range old.runs {
+		r.worker = w
+		w.runs[r] = true
+		c.dirty(r.task.step.job)
+	}
+	old.runs = map[*run]bool{}
 }
 
 // Disconnect ends a session. What runs on the worker counts as running until
@@ -338,4 +361,9 @@
 		c.free(r)
 	}
 	w.listed = true
+	if w.renamed {
+		// No order to the last life can come any more.
+		w.renamed = false
+		w.expires = now.Add(c.limits.MaxLease + ClockSlack(c.limits.MaxLease))
+	}
 }
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -19,6 +19,9 @@
 	// granted.
 	expires time.Time
 	runs    map[*run]bool
+	// renamed says that the last life had the same name, and that orders to it
+	// may still come.
+	renamed bool
 	// acked is the last end that is stored.
 	acked int64
 	// trouble rises with failures and refusals, and fades.
--- /dev/null
+++ b/stand/labor/record.go
@@ -0,0 +1,117 @@
+package labor
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/berylspar/spar"
+)
+
+// Record watches what all workers do, and notes each breach of a promise.
+type Record struct {
+	mu       sync.Mutex
+	running  map[spar.TaskRef]map[string]int64
+	done     map[spar.TaskRef]time.Time
+	failed   map[spar.TaskRef][]time.Time
+	started  map[spar.TaskRef]time.Time
+	finished map[spar.TaskRef]bool
+	starts   int
+	Breaches []string
+	// Allowed tells whether a task may be started now, with the reason why not.
+	Allowed func(t spar.TaskRef, node string) string
+	// Attempts is how often a task may fail.
+	Attempts int
+}
+
+// NewRecord returns an empty record.
+func NewRecord() *Record {
+	return &Record{running: map[spar.TaskRef]map[string]int64{}, done: map[spar.TaskRef]time.Time{}, failed: map[spar.TaskRef][]time.Time{}, started: map[spar.TaskRef]time.Time{}, finished: map[spar.TaskRef]bool{}, Attempts: 1 << 30}
+}
+
+func (r *Record) breach(format string, args ...any) {
+	r.Breaches = append(r.Breaches, fmt.Sprintf(format, args...))
+}
+
+func (r *Record) start(t spar.TaskRef, number int64, node string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starts++
+	for other, n := range r.running[t] {
+		r.breach("task %s run %d starts on %s while run %d is on %s", t, number, node, n, other)
+	}
+	if at, ok := r.done[t]; ok {
+		r.breach("task %s run %d starts on %s, but it was acknowledged as done %s ago", t, number, node, time.Since(at))
+	}
+	if n := len(r.failed[t]); n >= r.Attempts {
+		r.breach("task %s run %d starts on %s after %d failures", t, number, node, n)
+	}
+	r.started[t] = time.Now()
+	if r.Allowed != nil {
+		if why := r.Allowed(t, node); why != "" {
+			r.breach("task %s run %d starts on %s: %s", t, number, node, why)
+		}
+	}
+	if r.running[t] == nil {
+		r.running[t] = map[string]int64{}
+	}
+	r.running[t][node] = number
+}
+
+func (r *Record) end(t spar.TaskRef, _ int64, node string, how spar.Ending) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running[t], node)
+	if how == spar.EndDone {
+		r.finished[t] = true
+	}
+}
+
+// acknowledge notes that a worker was told to forget an end that was at a time.
+// An end that comes to be known after the lease was over binds nobody to what
+// was started meanwhile.
+func (r *Record) acknowledge(e spar.Ended, at time.Time, lapsed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	later := r.started[e.Task].After(at) && !lapsed
+	switch e.How {
+	case spar.EndDone:
+		if _, ok := r.done[e.Task]; !ok {
+			r.done[e.Task] = time.Now()
+		}
+		if later {
+			r.breach("task %s run %d was started after its end at %v, which is acknowledged now; started %v", e.Task, e.Run, at, r.started[e.Task])
+		}
+	case spar.EndFailed:
+		r.failed[e.Task] = append(r.failed[e.Task], at)
+		if later && len(r.failed[e.Task]) >= r.Attempts {
+			r.breach("task %s was started after its last failure, which is acknowledged now", e.Task)
+		}
+	}
+}
+
+// Done tells whether a task's good end was acknowledged.
+func (r *Record) Done(t spar.TaskRef) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.done[t]
+	return ok
+}
+
+// DoneLocked is Done for use in Allowed, which is called under the lock. A good
+// end that is listed counts, acknowledged or not.
+func (r *Record) DoneLocked(t spar.TaskRef) bool { return r.finished[t] }
+
+// Starts counts all starts.
+func (r *Record) Starts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts
+}
+
+// Found returns the breaches noted so far.
+func (r *Record) Found() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.Breaches...)
+}
