Workers that leave are vacated, and one that is never listed loses its tasks

Their agents connected again and again without a worker to list, and the leases of a worker with a session were never taken for over. A worker that drains was left to its tasks until it ended.

Change: leases end by their time, with a session or without. Standing tasks and those that keep their progress are stopped on a worker that drains and go on elsewhere; an agent whose worker has said goodbye and answers no more says so.

--- a/agent/hand/beats.go
+++ b/agent/hand/beats.go
@@ -30,8 +30,10 @@
 	common.Common
 	format Format
 
-	mu     sync.Mutex
-	last   *Report
+	mu   sync.Mutex
+	last *Report
+	// left is the life that has said goodbye.
+	left   spar.Life
 	change chan struct{}
 }
 
@@ -53,6 +55,13 @@
 	return b.last
 }
 
+// HasLeft tells whether a life of the worker has said goodbye.
+func (b *Beats) HasLeft(l spar.Life) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left == l
+}
+
 // Changed is signalled when the worker tells something new.
 func (b *Beats) Changed() <-chan struct{} { return b.change }
 
@@ -100,6 +109,7 @@
 		r := *b.last
 		r.Info.Draining = true
 		b.last = &r
-		b.Info("worker has left", "worker", id)
+		b.left = r.Info.Life
+		b.Info("worker says goodbye", "worker", id)
 	}
 }
--- a/agent/hand/hand.go
+++ b/agent/hand/hand.go
@@ -85,7 +85,7 @@
 // next runs one session with the owner, if both it and the worker are known.
 func (h *Hand) next(ctx context.Context) error {
 	at, beat := h.place.Load(), h.beats.Load()
-	if at == nil || beat == nil {
+	if at == nil || beat == nil || h.beats.HasLeft(beat.Info.Life) {
 		return nil
 	}
 	c, err := h.dial(ctx, at.Agents)
--- a/agent/hand/session.go
+++ b/agent/hand/session.go
@@ -134,6 +134,9 @@
 		s.Timer("hold").Record(time.Since(begun))
 		if err != nil {
 			failures++
+			if s.beats.HasLeft(s.target.Life) {
+				return errors.CombineErrors(errors.New("worker has left"), s.conn.Send(&link.Up{Left: true}))
+			}
 			if errors.Is(err, spar.ErrOtherLife) || failures >= holdTries {
 				return errors.Wrap(err, "worker not held")
 			}
--- a/entry/owner/session.go
+++ b/entry/owner/session.go
@@ -4,7 +4,6 @@
 	"net"
 	"time"
 
-	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/link"
 )
 
@@ -117,18 +116,19 @@
 		t.core.Update(s.node, s.token, *m.Worker)
 	}
 	t.core.Report(s.node, s.token, m, now)
+	if m.Left {
+		t.core.Left(s.node, s.token)
+	}
 	var reply *link.Down
 	if m.Beat > 0 && t.grants() && t.core.Grant(s.node, s.token, now) {
 		reply = &link.Down{Grant: m.Beat}
 	}
-	if m.Listed || len(m.Ended) > 0 || len(m.Outcomes) > 0 || m.Worker != nil || hasTail(m.Running) {
+	if m.Listed || len(m.Ended) > 0 || len(m.Outcomes) > 0 || m.Worker != nil || m.Left || len(m.Running) > 0 {
 		t.poke()
 	}
 	return reply
 }
 
-func hasTail(rows []spar.Running) bool { return len(rows) > 0 }
-
 func (t *term) closeSessions() {
 	t.coreMu.Lock()
 	defer t.coreMu.Unlock()
--- a/link/messages.go
+++ b/link/messages.go
@@ -12,6 +12,8 @@
 	Node string `msgpack:"n,omitempty"`
 	// Worker is what the worker last told of itself, when that has changed.
 	Worker *spar.WorkerInfo `msgpack:"w,omitempty"`
+	// Left says that the worker has said goodbye and answers no more.
+	Left bool `msgpack:"q,omitempty"`
 	// Beat numbers the agent's heartbeats, from 1.
 	Beat int64 `msgpack:"b,omitempty"`
 	// Listed is set in the first message after the token was used: Running and
--- a/shard/colo_test.go
+++ b/shard/colo_test.go
@@ -24,6 +24,7 @@
 		m.Running = append(m.Running, spar.Running{Task: f.Task, Run: f.Run, Percent: 20, Figure: 4000})
 	}
 	w.report(node, m)
+	w.core.Grant(node, w.tokens[node], w.now)
 }
 
 // learn shows the shard that an image disturbs the serving task.
--- a/shard/core.go
+++ b/shard/core.go
@@ -217,7 +217,9 @@
 func (c *Core) Tick(now, wall time.Time) {
 	c.now = now
 	for _, w := range c.workers {
-		if w.token == 0 && now.After(w.expires) {
+		// Also with a session: an agent that can't hold its worker asks for no
+		// grant.
+		if now.After(w.expires) && (w.token == 0 || len(w.runs) > 0) {
 			c.events(Event{What: "leases ended", Node: w.node})
 			c.endLife(w)
 		}
--- a/shard/report.go
+++ b/shard/report.go
@@ -48,6 +48,14 @@
 	old.runs = map[*run]bool{}
 }
 
+// Left ends the life of a worker that has said goodbye and answers no more.
+func (c *Core) Left(node string, token int64) {
+	if w := c.session(node, token); w != nil {
+		c.events(Event{What: "worker has left", Node: node})
+		c.endLife(w)
+	}
+}
+
 // Disconnect ends a session. What runs on the worker counts as running until
 // its leases have ended.
 func (c *Core) Disconnect(node string, token int64) {
@@ -63,6 +71,19 @@
 			c.events(Event{What: "worker leaves", Node: node})
 		}
 		w.info = info
+		if info.Draining {
+			c.vacate(w)
+		}
+	}
+}
+
+// vacate stops what can go on elsewhere on a worker that leaves: standing tasks
+// and those that keep their progress. The others may finish in time.
+func (c *Core) vacate(w *worker) {
+	for r := range w.runs {
+		if s := r.task.step; s.Standing || s.Checkpoints {
+			c.stop(r)
+		}
 	}
 }
 
--- a/stand/labor/record.go
+++ b/stand/labor/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,12 +85,20 @@
 		}
 	case spar.EndFailed:
 		r.failed[e.Task] = append(r.failed[e.Task], at)
-		if later && len(r.failed[e.Task]) >= r.Attempts {
-			r.breach("task %s was started after its last failure, which is acknowledged now", e.Task)
+		if r.isSpent(e.Task) && !lapsed {
+			r.breach("task %s was started after its last failure, one of which is acknowledged now", e.Task)
 		}
 	}
 }
 
+// isSpent tells whether a task was started after it had failed as often as it
+// may.
+func (r *Record) isSpent(t spar.TaskRef) bool {
+	ends := r.failed[t]
+	slices.SortFunc(ends, time.Time.Compare)
+	return len(ends) >= r.Attempts && r.started[t].After(ends[r.Attempts-1])
+}
+
 // Done tells whether a task's good end was acknowledged.
 func (r *Record) Done(t spar.TaskRef) bool {
 	r.mu.Lock()
