--- /dev/null
+++ b/prove/soak/faults_test.go
@@ -0,0 +1,65 @@
+package soak_test
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/prove/fault"
+)
+
+// faults are what may strike, each for a while.
+var faults = []struct {
+	name   string
+	strike func(d *deployment, random *rand.Rand, for_ time.Duration)
+}{
+	{"kill", func(d *deployment, r *rand.Rand, for_ time.Duration) {
+		p := d.anyProcess(r)
+		p.kill()
+		d.after(for_, p.start)
+	}},
+	{"pause", func(d *deployment, r *rand.Rand, for_ time.Duration) {
+		p := d.anyProcess(r)
+		p.signal(syscall.SIGSTOP)
+		d.after(for_, func() { p.signal(syscall.SIGCONT) })
+	}},
+	{"stop by plan", func(d *deployment, r *rand.Rand, _ time.Duration) {
+		p := d.anyProcess(r)
+		d.background(func() {
+			p.end()
+			p.start()
+		})
+	}},
+	{"reload", func(d *deployment, r *rand.Rand, _ time.Duration) { d.anyProcess(r).signal(syscall.SIGHUP) }},
+	{"refuse", proxied(fault.Rules{Refuse: true})},
+	{"silence", proxied(fault.Rules{DropOut: true, DropBack: true})},
+	{"one way out", proxied(fault.Rules{DropOut: true})},
+	{"one way back", proxied(fault.Rules{DropBack: true})},
+	{"delay", proxied(fault.Rules{Delay: 150 * time.Millisecond})},
+	{"short", proxied(fault.Rules{ShortEvery: 7})},
+	{"rebalance", func(d *deployment, _ *rand.Rand, _ time.Duration) { d.store.Rebalance("owners", time.Now()) }},
+	{"drop history", func(d *deployment, _ *rand.Rand, _ time.Duration) {
+		for _, t := range []string{"jobs", "state", "owner", "op"} {
+			d.store.Compact(t)
+		}
+	}},
+	{"worker crash", func(d *deployment, r *rand.Rand, for_ time.Duration) {
+		w := d.workers[r.IntN(len(d.workers))]
+		w.Crash()
+		d.after(for_, func() {
+			if l, up := w.Life(); !up {
+				w.Restart(spar.Life{ID: l.ID, Born: time.Now().UnixMilli()})
+			}
+		})
+	}},
+}
+
+// proxied applies rules to one of the proxies.
+func proxied(rules fault.Rules) func(*deployment, *rand.Rand, time.Duration) {
+	return func(d *deployment, r *rand.Rand, for_ time.Duration) {
+		p := d.proxies[r.IntN(len(d.proxies))]
+		p.Set(rules)
+		d.after(for_, func() { p.Set(fault.Rules{}) })
+	}
+}
--- a/prove/stage/ports.go
+++ b/prove/stage/ports.go
@@ -19,9 +19,9 @@
 
 var nextPort atomic.Int64
 
-// freePorts returns addresses on the loopback interface that nobody listens on.
+// FreePorts returns addresses on the loopback interface that nobody listens on.
 // Deployments of one process never share one.
-func freePorts(n int) ([]string, error) {
+func FreePorts(n int) ([]string, error) {
 	base := firstPort + os.Getpid()%portBlocks*blockSize
 	var out []string
 	for range blockSize * portBlocks {
--- a/prove/stage/proc.go
+++ b/prove/stage/proc.go
@@ -16,7 +16,8 @@
 	done chan struct{}
 }
 
-func startProc(path, log string, args ...string) (*Proc, error) {
+// StartProc starts a program whose output goes to a log file.
+func StartProc(path, log string, args ...string) (*Proc, error) {
 	f, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
--- a/prove/stage/stage.go
+++ b/prove/stage/stage.go
@@ -109,7 +109,7 @@
 
 // layout chooses addresses and writes the settings.
 func (s *Stage) layout() error {
-	ports, err := freePorts(1 + 3*s.plan.Entries + 4*s.plan.Workers)
+	ports, err := FreePorts(1 + 3*s.plan.Entries + 4*s.plan.Workers)
 	if err != nil {
 		return err
 	}
@@ -201,7 +201,7 @@
 
 // Start starts a program under a name, with the settings of that name.
 func (s *Stage) Start(program, name string) error {
-	p, err := startProc(filepath.Join(s.plan.Bin, program), filepath.Join(s.dir, name+".log"), "-settings", s.configs[name])
+	p, err := StartProc(filepath.Join(s.plan.Bin, program), filepath.Join(s.dir, name+".log"), "-settings", s.configs[name])
 	if err != nil {
 		return errors.Wrapf(err, "start %s", name)
 	}
