Fills that disturb are slowed down at once

Cause: a stop takes up to 900 ms, in which the fill goes on disturbing; and a disturbance that the model expected was only acted on at the second figure.

Change: a fill that is taken away is first paced to 0, which takes 100 ms; where the model expects the disturbance, the first figure over the target suffices.

--- a/shard/colo.go
+++ b/shard/colo.go
@@ -15,7 +15,8 @@
 	// afterglow is how long a fill that has ended still shows in the tails.
 	afterglow = 600 * time.Millisecond
 	// patience is how long a tail may be over its target before fills are
-	// taken away: two figures in a row.
+	// taken away that the model does not expect to disturb: two figures in a
+	// row. Those that it does expect to are taken away at the first.
 	patience = 350 * time.Millisecond
 	// settleTime is how long after that the tails are given to settle.
 	settleTime = 1200 * time.Millisecond
@@ -50,7 +51,7 @@
 	}
 	w.looked = now
 	fills := w.fillShares(now)
-	worst := time.Duration(0)
+	worst, expected := time.Duration(-1), false
 	for r := range w.runs {
 		s := r.task.step
 		if s.TailTarget == 0 || r.percent < 100 || !r.confirmed {
@@ -58,6 +59,7 @@
 			continue
 		}
 		level := float64(r.figure) / float64(s.TailTarget.Milliseconds())
+		expected = expected || level > 1 && c.clash.Pressure(s.Image, fills) > 1
 		c.clash.Observe(s.Image, fills, level)
 		if level <= 1 {
 			r.over = time.Time{}
@@ -72,7 +74,7 @@
 	switch {
 	case worst >= harmLimit:
 		c.clear(w, now)
-	case worst >= patience && now.After(w.settled):
+	case (worst >= patience || worst >= 0 && expected) && now.After(w.settled):
 		c.relieve(w, now)
 	}
 }
@@ -196,6 +198,8 @@
 	}
 	c.events(Event{What: "fill taken away", Task: r.task.ref().String(), Run: r.number, Node: r.worker.node, Reason: why})
 	r.task.notBefore = now
+	// A pace takes effect much sooner than a stop.
+	c.setPace(r, 0)
 	c.stop(r)
 }
 
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -146,7 +146,7 @@
 	w.take(t.step)
 	c.orders = append(c.orders, r)
 	c.dirty(t.step.job)
-	c.events(Event{What: "run claimed", Task: t.ref().String(), Run: number, Node: w.node})
+	c.events(Event{What: "run claimed", Task: t.ref().String(), Run: number, Node: w.node, Reason: t.step.Image})
 }
 
 // unclaim takes back a claim of this pass.
--- a/stand/labor/record.go
+++ b/stand/labor/record.go
@@ -73,23 +73,25 @@
 }
 
 // acknowledge notes that a worker was told to forget an end that was at a time.
-// An end that comes to be known after the lease was over binds nobody to what
-// was started meanwhile.
+// One that was known only after the lease was over is not binding: its task may
+// have been started elsewhere meanwhile.
 func (r *Record) acknowledge(e spar.Ended, at time.Time, lapsed bool) {
+	if lapsed {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	later := r.started[e.Task].After(at) && !lapsed
 	switch e.How {
 	case spar.EndDone:
 		if _, ok := r.done[e.Task]; !ok {
 			r.done[e.Task] = time.Now()
 		}
-		if later {
-			r.breach("task %s run %d was started after its end at %v, which is acknowledged now; started %v", e.Task, e.Run, at, r.started[e.Task])
+		if r.started[e.Task].After(at) {
+			r.breach("task %s was started at %v, after its end at %v, which is acknowledged now", e.Task, r.started[e.Task], at)
 		}
 	case spar.EndFailed:
 		r.failed[e.Task] = append(r.failed[e.Task], at)
-		if r.isSpent(e.Task) && !lapsed {
+		if r.isSpent(e.Task) {
 			r.breach("task %s was started after its last failure, one of which is acknowledged now", e.Task)
 		}
 	}
--- a/stand/labor/worker.go
+++ b/stand/labor/worker.go
@@ -221,7 +221,9 @@
 	}
 	w.extend(until)
 	for _, e := range w.ended {
-		if e.Number <= acked {
+		// A call to an earlier life that comes late acknowledges what nobody has
+		// heard of; the record holds nobody to it.
+		if e.Number <= acked && t.Life.Born == w.life.Born {
 			at := w.endedAt[e.Number]
 			w.record.acknowledge(e, at, w.lapsed.After(at))
 		}
