--- a/prove/soak/faults_test.go
+++ b/prove/soak/faults_test.go
@@ -12,17 +12,17 @@
 // faults are what may strike, each for a while.
 var faults = []struct {
 	name   string
-	strike func(d *deployment, random *rand.Rand, for_ time.Duration)
+	strike func(d *deployment, random *rand.Rand, while time.Duration)
 }{
-	{"kill", func(d *deployment, r *rand.Rand, for_ time.Duration) {
+	{"kill", func(d *deployment, r *rand.Rand, while time.Duration) {
 		p := d.anyProcess(r)
 		p.kill()
-		d.after(for_, p.start)
+		d.after(while, p.start)
 	}},
-	{"pause", func(d *deployment, r *rand.Rand, for_ time.Duration) {
+	{"pause", func(d *deployment, r *rand.Rand, while time.Duration) {
 		p := d.anyProcess(r)
 		p.signal(syscall.SIGSTOP)
-		d.after(for_, func() { p.signal(syscall.SIGCONT) })
+		d.after(while, func() { p.signal(syscall.SIGCONT) })
 	}},
 	{"stop by plan", func(d *deployment, r *rand.Rand, _ time.Duration) {
 		p := d.anyProcess(r)
@@ -44,10 +44,10 @@
 			d.store.Compact(t)
 		}
 	}},
-	{"worker crash", func(d *deployment, r *rand.Rand, for_ time.Duration) {
+	{"worker crash", func(d *deployment, r *rand.Rand, while time.Duration) {
 		w := d.workers[r.IntN(len(d.workers))]
 		w.Crash()
-		d.after(for_, func() {
+		d.after(while, func() {
 			if l, up := w.Life(); !up {
 				w.Restart(spar.Life{ID: l.ID, Born: time.Now().UnixMilli()})
 			}
@@ -57,9 +57,9 @@
 
 // proxied applies rules to one of the proxies.
 func proxied(rules fault.Rules) func(*deployment, *rand.Rand, time.Duration) {
-	return func(d *deployment, r *rand.Rand, for_ time.Duration) {
+	return func(d *deployment, r *rand.Rand, while time.Duration) {
 		p := d.proxies[r.IntN(len(d.proxies))]
 		p.Set(rules)
-		d.after(for_, func() { p.Set(fault.Rules{}) })
+		d.after(while, func() { p.Set(fault.Rules{}) })
 	}
 }
--- a/prove/world/random_test.go
+++ b/prove/world/random_test.go
@@ -110,7 +110,7 @@
 // strike does one thing of many, for a while.
 func (w *world) strike() {
 	e, n := w.entries[w.random.IntN(len(w.entries))], w.nodes[w.random.IntN(len(w.nodes))]
-	for_ := time.Duration(500+w.random.IntN(6000)) * time.Millisecond
+	while := time.Duration(500+w.random.IntN(6000)) * time.Millisecond
 	switch w.random.IntN(20) {
 	case 0, 1, 2, 3, 4:
 		w.submit(e)
@@ -118,19 +118,19 @@
 		w.cancelSome(e)
 	case 6:
 		w.killEntry(e)
-		w.after(for_, func() { w.startEntry(e) })
+		w.after(while, func() { w.startEntry(e) })
 	case 7:
 		w.stopEntry(e)
-		w.after(for_/8, func() { w.startEntry(e) })
+		w.after(while/8, func() { w.startEntry(e) })
 	case 8:
 		e.client.SetFaults(store.Faults{Cut: true})
-		w.after(for_, func() { e.client.SetFaults(store.Faults{}) })
+		w.after(while, func() { e.client.SetFaults(store.Faults{}) })
 	case 9:
-		e.client.SetFaults(store.Faults{LostShare: 0.3, LateShare: 0.2, LateBy: for_ / 2})
-		w.after(for_, func() { e.client.SetFaults(store.Faults{}) })
+		e.client.SetFaults(store.Faults{LostShare: 0.3, LateShare: 0.2, LateBy: while / 2})
+		w.after(while, func() { e.client.SetFaults(store.Faults{}) })
 	case 10:
 		e.client.SetFaults(store.Faults{Delay: 240 * time.Millisecond})
-		w.after(for_, func() { e.client.SetFaults(store.Faults{}) })
+		w.after(while, func() { e.client.SetFaults(store.Faults{}) })
 	case 11:
 		w.store.Rebalance("owners", time.Now())
 	case 12:
@@ -139,30 +139,30 @@
 		}
 	case 13:
 		w.stopNode(n)
-		w.after(for_, func() { w.startNode(n) })
+		w.after(while, func() { w.startNode(n) })
 	case 14:
 		w.net.setCut(n.name, true)
-		w.after(for_, func() { w.net.setCut(n.name, false) })
+		w.after(while, func() { w.net.setCut(n.name, false) })
 	case 15:
 		n.worker.Crash()
 		id := "i-" + n.name
 		if w.random.IntN(2) == 0 {
 			id = fmt.Sprintf("i-%s-%d", n.name, w.random.IntN(1000))
 		}
-		w.after(for_/2, func() { w.restartWorker(n, id) })
+		w.after(while/2, func() { w.restartWorker(n, id) })
 	case 16:
 		n.calls.SetFaults(labor.Faults{LateShare: 0.3, LateBy: lateBy / 2})
-		w.after(for_, func() { n.calls.SetFaults(labor.Faults{}) })
+		w.after(while, func() { n.calls.SetFaults(labor.Faults{}) })
 	case 17:
 		n.calls.SetFaults(labor.Faults{Cut: true})
-		w.after(for_, func() { n.calls.SetFaults(labor.Faults{}) })
+		w.after(while, func() { n.calls.SetFaults(labor.Faults{}) })
 	case 18:
 		w.closeDomain(n.domain)
-		w.after(for_, func() { w.openDomain(n.domain) })
+		w.after(while, func() { w.openDomain(n.domain) })
 	case 19:
 		for _, o := range w.entries {
 			o.client.SetFaults(store.Faults{Refuse: true})
-			w.after(for_/2, func() { o.client.SetFaults(store.Faults{}) })
+			w.after(while/2, func() { o.client.SetFaults(store.Faults{}) })
 		}
 	}
 }
--- a/shard/job.go
+++ b/shard/job.go
@@ -90,8 +90,8 @@
 	// moved is when the percentage last rose.
 	moved  time.Time
 	figure int64
-	over   time.Time
-	under  time.Time
+	// over is since when the tail has been over its target.
+	over time.Time
 }
 
 func newJob(j spar.Job, now time.Time) *job {
--- a/shard/pick.go
+++ b/shard/pick.go
@@ -107,7 +107,7 @@
 		v -= 2
 	}
 	if s.Rack != "" && !slices.Contains(w.info.Labels, s.Rack) {
-		v -= 1
+		v--
 	}
 	switch {
 	case s.Standing:
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -142,7 +142,7 @@
 	r := &run{task: t, worker: w.worker, number: number, token: w.token, pace: w.pace, started: now, moved: now}
 	t.last = number
 	t.runs = append(t.runs, r)
-	w.worker.runs[r] = true
+	w.runs[r] = true
 	w.take(t.step)
 	c.orders = append(c.orders, r)
 	c.dirty(t.step.job)
