Lost frames end a connection; polls end with their context

Cause: the soak's proxy swallows bytes and passes on what follows.

Change: frames are numbered and a gap ends the connection; an order without an outcome for 6 s has its session opened anew; a session's queue is not closed while it may be written to; polls end with their context.

--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -54,6 +54,11 @@
 	if t.holds() && t.isFresh(now) {
 		t.core.Plan(now)
 	}
+	for _, node := range t.core.Overdue(now) {
+		if s := t.sessions[node]; s != nil {
+			s.conn.Close()
+		}
+	}
 	messages := t.core.Immediate()
 	var next *shard.Commit
 	if free {
--- a/entry/owner/session.go
+++ b/entry/owner/session.go
@@ -21,6 +21,8 @@
 	node  string
 	token int64
 	out   chan *link.Down
+	// over is closed when the session has ended.
+	over chan struct{}
 }
 
 // push queues a message. An agent that does not keep up loses its session, and
@@ -51,7 +53,7 @@
 	go s.write(written)
 	err = t.receive(s)
 	t.goodbye(s)
-	close(s.out)
+	close(s.over)
 	<-written
 	t.Info("agent gone", "node", s.node, "token", s.token, "err", err)
 }
@@ -64,7 +66,7 @@
 		return nil
 	}
 	t.tokens++
-	s := &session{conn: conn, node: hello.Node, token: t.epoch<<tokenBits | t.tokens, out: make(chan *link.Down, queueLimit)}
+	s := &session{conn: conn, node: hello.Node, token: t.epoch<<tokenBits | t.tokens, out: make(chan *link.Down, queueLimit), over: make(chan struct{})}
 	if old := t.sessions[s.node]; old != nil {
 		old.conn.Close()
 	}
@@ -84,12 +86,17 @@
 	t.poke()
 }
 
-// write sends what is queued, until the queue is closed.
+// write sends what is queued, until the session is over.
 func (s *session) write(done chan<- struct{}) {
 	defer close(done)
-	for m := range s.out {
-		if err := s.conn.Send(m); err != nil {
-			s.conn.Close()
+	for {
+		select {
+		case <-s.over:
+			return
+		case m := <-s.out:
+			if err := s.conn.Send(m); err != nil {
+				s.conn.Close()
+			}
 		}
 	}
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -19,11 +19,17 @@
 	maxFrame = 8 << 20
 )
 
-// Conn sends messages of type Out and receives those of type In.
+// headBytes is the length of a frame's head: its length and its number.
+const headBytes = 8
+
+// Conn sends messages of type Out and receives those of type In. Frames are
+// numbered, so that a connection that has lost some on its way ends.
 type Conn[In, Out any] struct {
-	conn   net.Conn
-	reader *bufio.Reader
-	mu     sync.Mutex
+	conn     net.Conn
+	reader   *bufio.Reader
+	received uint32
+	mu       sync.Mutex
+	sent     uint32
 }
 
 // NewConn wraps a connection.
@@ -37,10 +43,12 @@
 	if err != nil {
 		return errors.NewAssertionErrorWithWrappedErrf(err, "message %T", m)
 	}
-	frame := make([]byte, 4, 4+len(body))
+	frame := make([]byte, headBytes, headBytes+len(body))
 	binary.BigEndian.PutUint32(frame, uint32(len(body)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sent++
+	binary.BigEndian.PutUint32(frame[4:], c.sent)
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
 		return errors.Wrap(err, "write deadline")
 	}
@@ -53,11 +61,15 @@
 	if err := c.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
 		return nil, errors.Wrap(err, "read deadline")
 	}
-	var head [4]byte
+	var head [headBytes]byte
 	if _, err := io.ReadFull(c.reader, head[:]); err != nil {
 		return nil, errors.Wrap(err, "receive")
 	}
-	n := binary.BigEndian.Uint32(head[:])
+	n, number := binary.BigEndian.Uint32(head[:]), binary.BigEndian.Uint32(head[4:])
+	c.received++
+	if number != c.received {
+		return nil, errors.Newf("frame %d in place of %d", number, c.received)
+	}
 	if n > maxFrame {
 		return nil, errors.Newf("frame of %d bytes, above %d", n, maxFrame)
 	}
--- a/prove/soak/deployment_test.go
+++ b/prove/soak/deployment_test.go
@@ -279,8 +279,9 @@
 // end stops the process by plan.
 func (p *process) end() {
 	p.finish(func(s *stage.Proc) {
+		begun := time.Now()
 		if !s.End() {
-			p.d.t.Errorf("%s did not stop by plan", p.name)
+			p.d.t.Errorf("%s did not stop by plan: exit code %d after %s", p.name, s.ExitCode(), time.Since(begun))
 		}
 	})
 }
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -120,6 +120,25 @@
 	return out
 }
 
+// orderLimit is how long an order may go without an outcome before the session
+// is opened anew, which settles it.
+const orderLimit = 6 * time.Second
+
+// Overdue returns the nodes that owe the outcome of an order for too long.
+func (c *Core) Overdue(now time.Time) []string {
+	var out []string
+	for _, w := range c.workers {
+		for r := range w.runs {
+			if w.token != 0 && w.listed && r.ordered && !r.confirmed && r.token == w.token && now.Sub(r.started) > orderLimit {
+				c.events(Event{What: "outcome overdue", Task: r.task.ref().String(), Run: r.number, Node: w.node})
+				out = append(out, w.node)
+				break
+			}
+		}
+	}
+	return out
+}
+
 func down(all map[string]*link.Down, w *worker) *link.Down {
 	if all[w.node] == nil {
 		all[w.node] = &link.Down{}
--- a/stand/face/face_test.go
+++ b/stand/face/face_test.go
@@ -195,3 +195,16 @@
 		t.Fatalf("start meant for another: %v", err)
 	}
 }
+
+func TestFollowEndsWithItsContext(t *testing.T) {
+	p, _ := newStore(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	begun := time.Now()
+	if _, err := p.Follow(ctx, "jobs", 0, 3*time.Second); err == nil {
+		t.Fatal("no error")
+	}
+	if took := time.Since(begun); took > time.Second {
+		t.Fatalf("took %s", took)
+	}
+}
