--- a/agent/batch/app.go
+++ b/agent/batch/app.go
@@ -49,10 +49,12 @@
 }
 
 func run(ctx context.Context, s Settings, out, _ io.Writer) error {
+	lines := common.NewLines(out, common.LinesPerSecond)
+	defer lines.Close()
 	c := dig.New()
 	for _, p := range []any{
 		func() Settings { return s },
-		func() (*common.Base, error) { return common.NewBase(ctx, s.Settings, "agent", s.Name, out, out) },
+		func() (*common.Base, error) { return common.NewBase(ctx, s.Settings, "agent", s.Name, lines, lines) },
 		func(b *common.Base) common.Common { return b.Common },
 		platform.NewClient,
 		func(c *platform.Client) spar.Store { return platform.NewStore(c, s.Store) },
--- a/agent/renew/renew.go
+++ b/agent/renew/renew.go
@@ -13,7 +13,7 @@
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/agent/tasks"
 	"github.com/berylspar/spar/common"
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/lease"
 	"github.com/berylspar/spar/rendez"
 	"github.com/berylspar/spar/wire"
@@ -157,12 +157,12 @@
 		return false, errors.Newf("configuration is %s old", age)
 	}
 	if len(a.GetConfig()) > 0 {
-		c, err := deploy.Parse(a.GetConfig())
+		c, err := fleet.Parse(a.GetConfig())
 		if err != nil {
 			r.Warn("configuration not readable", "revision", a.GetRevision(), "err", err)
 			return false, err
 		}
-		r.runner.Learn(context.WithoutCancel(ctx), &deploy.Revision{Configuration: c, Number: a.GetRevision()})
+		r.runner.Learn(context.WithoutCancel(ctx), &fleet.Revision{Configuration: c, Number: a.GetRevision()})
 	}
 	if a.GetRevision() == r.runner.Config().Number {
 		r.lease.Learnt(sent, age)
--- a/agent/tasks/runner.go
+++ b/agent/tasks/runner.go
@@ -12,7 +12,7 @@
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/colo"
 	"github.com/berylspar/spar/common"
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/lease"
 	"github.com/berylspar/spar/ledger"
 	"github.com/berylspar/spar/wire"
@@ -41,7 +41,7 @@
 	ledger   *ledger.Ledger
 	lease    *lease.Holder
 	clock    platformClock
-	config   deploy.Holder
+	config   fleet.Holder
 	leaving  atomic.Bool
 	ready    atomic.Bool
 
@@ -76,10 +76,10 @@
 func (r *Runner) SetCap(f func(kind string, full int64) int64) { r.cap = f }
 
 // Config returns the newest configuration known.
-func (r *Runner) Config() *deploy.Revision { return r.config.Load() }
+func (r *Runner) Config() *fleet.Revision { return r.config.Load() }
 
 // Learn takes in a configuration; a lower revision than the known is dropped.
-func (r *Runner) Learn(ctx context.Context, c *deploy.Revision) {
+func (r *Runner) Learn(ctx context.Context, c *fleet.Revision) {
 	if !r.config.Raise(c) {
 		return
 	}
@@ -117,7 +117,7 @@
 		return spar.ReasonStaleConfig
 	case !c.IsOpen(r.place.Domain):
 		return spar.ReasonDomainClosed
-	case !deploy.Allows(domains, r.place.Domain):
+	case !fleet.Allows(domains, r.place.Domain):
 		return spar.ReasonDomainExcluded
 	}
 	return spar.ReasonNone
--- a/beryl/app/main.go
+++ b/beryl/app/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"strings"
 	"syscall"
@@ -72,7 +73,7 @@
 	err := errors.CombineErrors(
 		c.Provide(func() cmds.Target { return cmds.Target{Platform: s.Platform, Entries: s.Entries, TeamKey: s.TeamKey} }),
 		errors.CombineErrors(
-			c.Provide(func() cmds.Streams { return cmds.Streams{Out: out, Errs: errs} }),
+			c.Provide(func() cmds.Streams { return cmds.Streams{In: os.Stdin, Out: out, Errs: errs} }),
 			c.Provide(cmds.NewRunner)))
 	if err == nil {
 		err = c.Invoke(func(r *cmds.Runner) error { return r.Run(ctx, flags.Args()) })
--- a/beryl/cmds/follow.go
+++ b/beryl/cmds/follow.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/plat"
 	"github.com/berylspar/spar/tail"
 	"github.com/cockroachdb/errors"
@@ -20,7 +20,7 @@
 // function.
 func (r *Runner) follow(ctx context.Context) (*tail.Tail, func(), error) {
 	log := plat.NewLog(r.target.Platform)
-	state, err := tail.Boot(ctx, log, deploy.CheckBody)
+	state, err := tail.Boot(ctx, log, fleet.CheckBody)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "log at %s", r.target.Platform)
 	}
--- a/beryl/cmds/publish.go
+++ b/beryl/cmds/publish.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/tail"
 	"github.com/berylspar/spar/wire"
 	"github.com/cockroachdb/errors"
@@ -38,12 +38,12 @@
 	return nil
 }
 
-func load(path string) (deploy.Configuration, error) {
+func load(path string) (fleet.Configuration, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return deploy.Configuration{}, errors.Mark(err, ErrUsage)
+		return fleet.Configuration{}, errors.Mark(err, ErrUsage)
 	}
-	c, err := deploy.Parse(data)
+	c, err := fleet.Parse(data)
 	return c, errors.Wrapf(err, "%s", path)
 }
 
@@ -73,7 +73,7 @@
 }
 
 // put appends a configuration made from a base, and waits until it is in force.
-func (r *Runner) put(ctx context.Context, t *tail.Tail, base int64, c deploy.Configuration) error {
+func (r *Runner) put(ctx context.Context, t *tail.Tail, base int64, c fleet.Configuration) error {
 	body, err := c.Print()
 	if err != nil {
 		return err
@@ -126,7 +126,7 @@
 	if f.Revision() == 0 {
 		return errors.New("no configuration was published yet")
 	}
-	c, err := deploy.Parse(f.Body())
+	c, err := fleet.Parse(f.Body())
 	if err != nil {
 		return err
 	}
--- a/beryl/cmds/runner.go
+++ b/beryl/cmds/runner.go
@@ -22,8 +22,9 @@
 	TeamKey  string
 }
 
-// Streams are where the commands write.
+// Streams are where the commands read and write.
 type Streams struct {
+	In   io.Reader
 	Out  io.Writer
 	Errs io.Writer
 }
@@ -57,7 +58,7 @@
 		{"job list", "", "list the jobs", (*Runner).jobList},
 		{"job cancel", "NAME", "cancel a job", (*Runner).jobCancel},
 		{"workers", "", "list the workers that are known", (*Runner).workers},
-		{"why", "TASK|WORKER|REQUEST", "tell the decisions about a task (job/index), a worker or a request", (*Runner).why},
+		{"why", "TASK|WORKER|REQUEST|JOB [LOG ...]", "tell the decisions about it: what the entries remember, or what the logs say (- reads standard input)", (*Runner).why},
 	}
 }
 
--- a/beryl/cmds/why.go
+++ b/beryl/cmds/why.go
@@ -26,6 +26,9 @@
 }
 
 func (r *Runner) why(ctx context.Context, args []string) error {
+	if len(args) > 1 {
+		return r.whyLogs(args[0], args[1:])
+	}
 	subject, err := one(args, "a task, a worker or a request")
 	if err != nil {
 		return err
--- a/entry/app/build.go
+++ b/entry/app/build.go
@@ -10,7 +10,6 @@
 	"connectrpc.com/connect"
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/common"
-	"github.com/berylspar/spar/deploy"
 	"github.com/berylspar/spar/entry/admin"
 	"github.com/berylspar/spar/entry/agents"
 	"github.com/berylspar/spar/entry/ctrl"
@@ -19,6 +18,7 @@
 	"github.com/berylspar/spar/entry/plan"
 	"github.com/berylspar/spar/entry/rules"
 	"github.com/berylspar/spar/entry/watch"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/fold"
 	"github.com/berylspar/spar/lease"
 	"github.com/berylspar/spar/member"
@@ -120,7 +120,7 @@
 				return f, nil
 			}
 		}
-		f, err := tail.Boot(ctx, l, deploy.CheckBody)
+		f, err := tail.Boot(ctx, l, fleet.CheckBody)
 		switch {
 		case err != nil:
 			c.Warn("log not readable", "err", err)
@@ -131,7 +131,7 @@
 			// No entry was there for longer than the log keeps records, so no
 			// lease is alive either.
 			c.Warn("state lost: the log holds no snapshot and its first records are gone", "oldest", oldest)
-			return fold.NewState(oldest, deploy.CheckBody), nil
+			return fold.NewState(oldest, fleet.CheckBody), nil
 		}
 		pause(ctx)
 	}
@@ -151,7 +151,7 @@
 	if err != nil {
 		return nil
 	}
-	return fold.Restore(a.Msg, deploy.CheckBody)
+	return fold.Restore(a.Msg, fleet.CheckBody)
 }
 
 func pause(ctx context.Context) {
--- a/entry/batch/app.go
+++ b/entry/batch/app.go
@@ -62,10 +62,12 @@
 }
 
 func run(ctx context.Context, s Settings, out, _ io.Writer) error {
+	lines := common.NewLines(out, common.LinesPerSecond)
+	defer lines.Close()
 	c := dig.New()
 	for _, p := range []any{
 		func() Settings { return s },
-		func() (*common.Base, error) { return common.NewBase(ctx, s.Settings, "entry", s.Name, out, out) },
+		func() (*common.Base, error) { return common.NewBase(ctx, s.Settings, "entry", s.Name, lines, lines) },
 		func(b *common.Base) common.Common { return b.Common },
 		platform.NewClient,
 		func(c *platform.Client) spar.Store { return platform.NewStore(c, s.Store) },
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -127,7 +127,7 @@
 	case c.IsGet():
 		d.state(ctx, c, id)
 	case c.IsDelete():
-		d.cancel(ctx, c, id)
+		d.cancel(ctx, c, q, id)
 	default:
 		c.SetStatusCode(fasthttp.StatusMethodNotAllowed)
 	}
@@ -173,29 +173,29 @@
 		return
 	}
 	j.Policy = q
-	d.store(ctx, c, id, "job accepted", func() error { return d.jobs.Submit(ctx, j) })
+	d.store(ctx, c, id, "job accepted", q.Name, func() error { return d.jobs.Submit(ctx, j) })
 }
 
-func (d *Desk) cancel(ctx context.Context, c *fasthttp.RequestCtx, id string) {
-	d.store(ctx, c, id, "cancel accepted", func() error { return d.jobs.Cancel(ctx, id) })
+func (d *Desk) cancel(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id string) {
+	d.store(ctx, c, id, "cancel accepted", q.Name, func() error { return d.jobs.Cancel(ctx, id) })
 }
 
 // store repeats a write until the store has answered or the caller's time is
 // over. A write is refused only when no try of it can have been carried out.
-func (d *Desk) store(ctx context.Context, c *fasthttp.RequestCtx, id, what string, write func() error) {
-	unsure := 0
+func (d *Desk) store(ctx context.Context, c *fasthttp.RequestCtx, id, what, queue string, write func() error) {
+	unsure, begun := 0, time.Now()
 	for {
 		err := write()
 		switch {
 		case err == nil:
-			d.Info(what, "job", id, "unsure", unsure)
+			d.Info(what, "job", id, "queue", queue, "version", d.config.Load().Rules.Version, "unsure", unsure, "took", time.Since(begun))
 			d.Counter("stored").Inc(1)
 			return
 		case errors.Is(err, spar.ErrRefused) && unsure == 0:
 			d.refuse(c, id, "store refuses", err)
 			return
 		case ctx.Err() != nil:
-			d.Warn("outcome unknown", "job", id, "tries", unsure, "err", err)
+			d.Warn("outcome unknown", "job", id, "queue", queue, "unsure", unsure, "took", time.Since(begun), "err", err)
 			d.Counter("unknown").Inc(1)
 			c.SetStatusCode(fasthttp.StatusGatewayTimeout)
 			return
@@ -255,7 +255,7 @@
 
 // refuse answers at once that nothing was done and when to come again.
 func (d *Desk) refuse(c *fasthttp.RequestCtx, id, why string, err error) {
-	d.Info("request refused", "job", id, "method", string(c.Method()), "reason", why, "err", err)
+	d.Info("request refused", "job", id, "method", string(c.Method()), "reason", why, "configuration_age", time.Since(d.config.FreshAt()), "err", err)
 	d.Counter("refused").Inc(1)
 	c.Response.Header.Set(fasthttp.HeaderRetryAfter, comeAgain)
 	c.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/entry/rules/rules.go
+++ b/entry/rules/rules.go
@@ -3,7 +3,7 @@
 
 import (
 	"github.com/berylspar/spar/common"
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/fold"
 	"github.com/berylspar/spar/tail"
 )
@@ -11,7 +11,7 @@
 // Rules hold the newest configuration. Reading takes no lock.
 type Rules struct {
 	common.Common
-	holder deploy.Holder
+	holder fleet.Holder
 }
 
 // NewRules returns rules that follow a tail.
@@ -31,15 +31,15 @@
 	if revision == 0 {
 		return
 	}
-	c, err := deploy.Parse(body)
+	c, err := fleet.Parse(body)
 	if err != nil {
 		r.Warn("configuration not readable", "revision", revision, "err", err)
 		return
 	}
-	if r.holder.Raise(&deploy.Revision{Configuration: c, Number: revision}) {
+	if r.holder.Raise(&fleet.Revision{Configuration: c, Number: revision}) {
 		r.Info("configuration in force", "revision", revision)
 	}
 }
 
 // Load returns the newest configuration.
-func (r *Rules) Load() *deploy.Revision { return r.holder.Load() }
+func (r *Rules) Load() *fleet.Revision { return r.holder.Load() }
--- a/deploy/check.go
+++ b/fleet/check.go
@@ -1,4 +1,4 @@
-package deploy
+package fleet
 
 import (
 	"github.com/berylspar/spar/conf"
--- a/deploy/types.go
+++ b/fleet/types.go
@@ -1,6 +1,6 @@
-// Package deploy is the library that operators' programs use to print the
+// Package fleet is the library that operators' programs use to print the
 // configuration: failure domains, services, teams and kinds of batch jobs.
-package deploy
+package fleet
 
 import "github.com/berylspar/spar"
 
--- a/place/place.go
+++ b/place/place.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"github.com/berylspar/spar"
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 )
 
 // Candidate is a worker that may take a task.
@@ -74,7 +74,7 @@
 		return spar.ReasonTooLarge
 	case !open(c.Domain):
 		return spar.ReasonDomainClosed
-	case !deploy.Allows(t.Domains, c.Domain):
+	case !fleet.Allows(t.Domains, c.Domain):
 		return spar.ReasonDomainExcluded
 	case c.Suspect, t.CrashedOn == c.Worker && others:
 		return spar.ReasonCrashes
--- a/prove/app/bench.go
+++ b/prove/app/bench.go
@@ -6,7 +6,7 @@
 	"io"
 	"time"
 
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/load/drive"
 	"github.com/berylspar/spar/prove/stage"
 	"github.com/berylspar/spar/stand/work"
@@ -48,13 +48,13 @@
 }
 
 func benchConfiguration() ([]byte, error) {
-	return deploy.Configuration{
-		Domains:  []deploy.Domain{{Name: "plovdiv", Region: "south"}, {Name: "haskovo", Region: "south"}, {Name: "sliven", Region: "south"}},
-		Services: []deploy.Service{{Name: "booking-desk", TargetMS: benchTarget}},
-		Teams:    []deploy.Team{{Name: "fleet", Quota: deploy.Size(1000, 4000, 0)}},
-		Kinds: []deploy.Kind{
-			{Name: "audit", Team: "fleet", Tasks: 20, Size: deploy.Size(2, 6, 0), RunMS: benchTaskRun.Milliseconds(), Repeatable: true},
-			{Name: "archive", Team: "fleet", Tasks: 20, Size: deploy.Size(2, 6, 0), RunMS: benchTaskRun.Milliseconds(), Repeatable: true},
+	return fleet.Configuration{
+		Domains:  []fleet.Domain{{Name: "plovdiv", Region: "south"}, {Name: "haskovo", Region: "south"}, {Name: "sliven", Region: "south"}},
+		Services: []fleet.Service{{Name: "booking-desk", TargetMS: benchTarget}},
+		Teams:    []fleet.Team{{Name: "fleet", Quota: fleet.Size(1000, 4000, 0)}},
+		Kinds: []fleet.Kind{
+			{Name: "audit", Team: "fleet", Tasks: 20, Size: fleet.Size(2, 6, 0), RunMS: benchTaskRun.Milliseconds(), Repeatable: true},
+			{Name: "archive", Team: "fleet", Tasks: 20, Size: fleet.Size(2, 6, 0), RunMS: benchTaskRun.Milliseconds(), Repeatable: true},
 		},
 	}.Print()
 }
--- a/prove/app/recover.go
+++ b/prove/app/recover.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/prove/stage"
 	"github.com/berylspar/spar/stand/work"
 	"github.com/cockroachdb/errors"
@@ -72,14 +72,14 @@
 }
 
 func teamsConfiguration() ([]byte, error) {
-	c := deploy.Configuration{
-		Domains:  []deploy.Domain{{Name: "plovdiv", Region: "south"}, {Name: "haskovo", Region: "south"}, {Name: "sliven", Region: "south"}},
-		Services: []deploy.Service{{Name: "booking-desk", TargetMS: 50}},
+	c := fleet.Configuration{
+		Domains:  []fleet.Domain{{Name: "plovdiv", Region: "south"}, {Name: "haskovo", Region: "south"}, {Name: "sliven", Region: "south"}},
+		Services: []fleet.Service{{Name: "booking-desk", TargetMS: 50}},
 	}
 	for i := range recoverTeams {
 		team := fmt.Sprintf("team-%d", i)
-		c.Teams = append(c.Teams, deploy.Team{Name: team, Quota: deploy.Size(1000, 4000, 0)})
-		c.Kinds = append(c.Kinds, deploy.Kind{Name: "work-" + team, Team: team, Tasks: 1, Size: deploy.Size(1, 2, 0), RunMS: 1000, Urgent: true, Repeatable: true})
+		c.Teams = append(c.Teams, fleet.Team{Name: team, Quota: fleet.Size(1000, 4000, 0)})
+		c.Kinds = append(c.Kinds, fleet.Kind{Name: "work-" + team, Team: team, Tasks: 1, Size: fleet.Size(1, 2, 0), RunMS: 1000, Urgent: true, Repeatable: true})
 	}
 	return c.Print()
 }
--- a/prove/pages/pages_test.go
+++ b/prove/pages/pages_test.go
@@ -9,9 +9,11 @@
 	"testing"
 
 	agent "github.com/berylspar/spar/agent/app"
+	agentbatch "github.com/berylspar/spar/agent/batch"
 	"github.com/berylspar/spar/conf"
-	"github.com/berylspar/spar/deploy"
 	entry "github.com/berylspar/spar/entry/app"
+	entrybatch "github.com/berylspar/spar/entry/batch"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/load/drive"
 	"github.com/sebdah/goldie/v2"
 )
@@ -23,15 +25,18 @@
 // go test -update writes the page and the schemas anew.
 func TestSettingsPage(t *testing.T) {
 	page := "# Settings\n\nMade from the programs; `PROGRAM -print-default-config` prints the defaults and\n`PROGRAM -print-schema` the schema. Unknown fields and values beyond the limits\nare refused with the field's path and exit code 2.\n\n" +
-		conf.Page("entry", entry.DefaultSettings()) + "\n" + conf.Page("agent", agent.DefaultSettings()) + "\n" + conf.Page("load", drive.DefaultSettings())
+		conf.Page("entry", entry.DefaultSettings()) + "\n" + conf.Page("agent", agent.DefaultSettings()) + "\n" + conf.Page("load", drive.DefaultSettings()) + "\n" +
+		conf.Page("entry batch", entrybatch.DefaultSettings()) + "\n" + conf.Page("agent batch", agentbatch.DefaultSettings())
 	docs(t).Assert(t, "Config.md", []byte(page))
 }
 
 func TestSchemas(t *testing.T) {
 	g := docs(t)
-	g.Assert(t, "schema/configuration.json", deploy.Schema())
+	g.Assert(t, "schema/configuration.json", fleet.Schema())
 	g.Assert(t, "schema/entry.json", conf.Schema[entry.Settings]("entry settings"))
 	g.Assert(t, "schema/agent.json", conf.Schema[agent.Settings]("agent settings"))
+	g.Assert(t, "schema/entry-batch.json", conf.Schema[entrybatch.Settings]("entry batch settings"))
+	g.Assert(t, "schema/agent-batch.json", conf.Schema[agentbatch.Settings]("agent batch settings"))
 }
 
 // Every command that a page shows is one that beryl knows.
@@ -69,7 +74,7 @@
 
 // Links between pages lead somewhere.
 func TestLinksInPages(t *testing.T) {
-	for _, p := range []string{"../../README.md", "../../docs/Operating.md", "../../docs/PROOF.md", "../../docs/CAPACITY.md", "../../docs/design/README.md", "../../docs/dev/codebase.md"} {
+	for _, p := range []string{"../../README.md", "../../docs/Operating.md", "../../docs/PROOF.md", "../../docs/CAPACITY.md", "../../docs/OPERATIONS.md", "../../docs/design/README.md", "../../docs/design/platform.md", "../../docs/dev/codebase.md"} {
 		data, err := os.ReadFile(p)
 		if err != nil {
 			t.Error(err)
--- a/prove/random/random_test.go
+++ b/prove/random/random_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/fold"
 	"github.com/berylspar/spar/prove/stage"
 	"github.com/berylspar/spar/stand/logs"
@@ -96,9 +96,9 @@
 }
 
 func (h *history) configure() {
-	c := deploy.Configuration{Services: []deploy.Service{}, Kinds: []deploy.Kind{}, Teams: []deploy.Team{{Name: "a", Quota: spar.Size{CPUMilli: 100_000, MemoryMB: 100_000}}}}
+	c := fleet.Configuration{Services: []fleet.Service{}, Kinds: []fleet.Kind{}, Teams: []fleet.Team{{Name: "a", Quota: spar.Size{CPUMilli: 100_000, MemoryMB: 100_000}}}}
 	for _, d := range h.domains {
-		c.Domains = append(c.Domains, deploy.Domain{Name: d, Region: "r", Closed: h.closures[d] != nil})
+		c.Domains = append(c.Domains, fleet.Domain{Name: d, Region: "r", Closed: h.closures[d] != nil})
 	}
 	body, err := c.Print()
 	if err != nil {
--- a/prove/random/world_test.go
+++ b/prove/random/world_test.go
@@ -15,7 +15,6 @@
 	"github.com/berylspar/spar/agent/renew"
 	"github.com/berylspar/spar/agent/tasks"
 	"github.com/berylspar/spar/common"
-	"github.com/berylspar/spar/deploy"
 	"github.com/berylspar/spar/entry/agents"
 	entryctrl "github.com/berylspar/spar/entry/ctrl"
 	"github.com/berylspar/spar/entry/peers"
@@ -23,6 +22,7 @@
 	"github.com/berylspar/spar/entry/rules"
 	"github.com/berylspar/spar/entry/watch"
 	"github.com/berylspar/spar/event"
+	"github.com/berylspar/spar/fleet"
 	"github.com/berylspar/spar/fold"
 	"github.com/berylspar/spar/lease"
 	"github.com/berylspar/spar/ledger"
@@ -155,7 +155,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	c := w.common("entry", p.name)
-	t := tail.NewTail(tail.DefaultSettings(), gate{w.log, w, p.name}, fold.NewState(0, deploy.CheckBody))
+	t := tail.NewTail(tail.DefaultSettings(), gate{w.log, w, p.name}, fold.NewState(0, fleet.CheckBody))
 	v := member.NewView(p.name, w.terms)
 	a := agents.NewTable()
 	r := rules.NewRules(c, t)
--- a/sample/clip/main.go
+++ b/sample/clip/main.go
@@ -6,26 +6,26 @@
 	"fmt"
 	"os"
 
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 )
 
 // configuration declares the deployment.
-func configuration() deploy.Configuration {
-	return deploy.Configuration{
-		Domains: []deploy.Domain{
+func configuration() fleet.Configuration {
+	return fleet.Configuration{
+		Domains: []fleet.Domain{
 			{Name: "savannah", Region: "east"},
 			{Name: "augusta", Region: "east"},
 			{Name: "statesboro", Region: "east"},
 			{Name: "waycross", Region: "east"},
 		},
-		Services: []deploy.Service{{Name: "returns", TargetMS: 30}},
-		Teams: []deploy.Team{
-			{Name: "audit", Quota: deploy.Size(480, 1920, 0)},
-			{Name: "yard", Quota: deploy.Size(96, 384, 0)},
+		Services: []fleet.Service{{Name: "returns", TargetMS: 30}},
+		Teams: []fleet.Team{
+			{Name: "audit", Quota: fleet.Size(480, 1920, 0)},
+			{Name: "yard", Quota: fleet.Size(96, 384, 0)},
 		},
-		Kinds: []deploy.Kind{
-			{Name: "audit", Team: "audit", Tasks: 16, Size: deploy.Size(8, 32, 0), RunMS: 10_000, Repeatable: true},
-			{Name: "yard-watch", Team: "yard", Tasks: 4, Size: deploy.Size(2, 4, 0), RunMS: 30_000},
+		Kinds: []fleet.Kind{
+			{Name: "audit", Team: "audit", Tasks: 16, Size: fleet.Size(8, 32, 0), RunMS: 10_000, Repeatable: true},
+			{Name: "yard-watch", Team: "yard", Tasks: 4, Size: fleet.Size(2, 4, 0), RunMS: 30_000},
 		},
 	}
 }
--- a/sample/naem/main.go
+++ b/sample/naem/main.go
@@ -6,26 +6,26 @@
 	"fmt"
 	"os"
 
-	"github.com/berylspar/spar/deploy"
+	"github.com/berylspar/spar/fleet"
 )
 
 // configuration declares the deployment.
-func configuration() deploy.Configuration {
-	return deploy.Configuration{
-		Domains: []deploy.Domain{
+func configuration() fleet.Configuration {
+	return fleet.Configuration{
+		Domains: []fleet.Domain{
 			{Name: "plovdiv", Region: "south"},
 			{Name: "haskovo", Region: "south"},
 			{Name: "sliven", Region: "south"},
 		},
-		Services: []deploy.Service{{Name: "booking-desk", TargetMS: 20}},
-		Teams: []deploy.Team{
-			{Name: "fleet", Quota: deploy.Size(96, 384, 0)},
-			{Name: "routes", Quota: deploy.Size(32, 128, 0)},
+		Services: []fleet.Service{{Name: "booking-desk", TargetMS: 20}},
+		Teams: []fleet.Team{
+			{Name: "fleet", Quota: fleet.Size(96, 384, 0)},
+			{Name: "routes", Quota: fleet.Size(32, 128, 0)},
 		},
-		Kinds: []deploy.Kind{
-			{Name: "fleet-plan", Team: "fleet", Tasks: 8, Size: deploy.Size(2, 8, 0), RunMS: 8000, Repeatable: true},
-			{Name: "route-watch", Team: "routes", Tasks: 4, Size: deploy.Size(1, 2, 0), RunMS: 30_000},
-			{Name: "urgent-plan", Team: "fleet", Tasks: 2, Size: deploy.Size(2, 8, 0), RunMS: 2000, Urgent: true, Repeatable: true},
+		Kinds: []fleet.Kind{
+			{Name: "fleet-plan", Team: "fleet", Tasks: 8, Size: fleet.Size(2, 8, 0), RunMS: 8000, Repeatable: true},
+			{Name: "route-watch", Team: "routes", Tasks: 4, Size: fleet.Size(1, 2, 0), RunMS: 30_000},
+			{Name: "urgent-plan", Team: "fleet", Tasks: 2, Size: fleet.Size(2, 8, 0), RunMS: 2000, Urgent: true, Repeatable: true},
 		},
 	}
 }
