A new owner hears from the agents how long leases can last

Change: an agent tells with its first message how long leases that it extended can still last; one that has just started bounds them by its being there.

--- a/agent/batch/app.go
+++ b/agent/batch/app.go
@@ -14,6 +14,7 @@
 	"github.com/berylspar/spar/agent/hand"
 	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/platform"
+	"github.com/berylspar/spar/steady"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
 	"go.uber.org/dig"
@@ -62,7 +63,7 @@
 		func() hand.Format { return hand.Format{Path: platform.HeartbeatPath, Decode: decodeHeartbeat} },
 		hand.NewBeats,
 		func(c common.Common, b *hand.Beats, w spar.Worker, st spar.Store) *hand.Hand {
-			return hand.NewHand(c, s.Name, b, w, st, hand.DialTCP)
+			return hand.NewHand(c, s.Name, b, w, st, hand.DialTCP, steady.Now)
 		},
 		func(p parts) *daemon { return &daemon{Common: p.Base.Common, parts: p} },
 	} {
--- a/agent/hand/hand.go
+++ b/agent/hand/hand.go
@@ -43,13 +43,19 @@
 	worker spar.Worker
 	place  *track.Owner
 	dial   Dial
+	// clock is steady time, which goes on while the machine is suspended.
+	clock func() time.Duration
 	// epoch is the highest of the owners served.
 	epoch int64
+	// held is the life whose leases this process extends, and heldUntil when
+	// they end at the latest.
+	held      spar.Life
+	heldUntil time.Duration
 }
 
 // NewHand returns the hand of a node.
-func NewHand(c common.Common, node string, b *Beats, w spar.Worker, s spar.Store, d Dial) *Hand {
-	return &Hand{Common: c, node: node, beats: b, worker: w, dial: d, place: track.NewOwner(s, ownerWait, func(err error) {
+func NewHand(c common.Common, node string, b *Beats, w spar.Worker, s spar.Store, d Dial, clock func() time.Duration) *Hand {
+	return &Hand{Common: c, node: node, beats: b, worker: w, dial: d, clock: clock, place: track.NewOwner(s, ownerWait, func(err error) {
 		c.Warn("owner's place not readable", "err", err)
 	})}
 }
@@ -94,7 +100,7 @@
 	}
 	conn := link.NewConn[link.Down, link.Up](c)
 	defer conn.Close()
-	if err := conn.Send(&link.Up{Node: h.node, Worker: &beat.Info}); err != nil {
+	if err := conn.Send(&link.Up{Node: h.node, Worker: &beat.Info, Lease: h.leaseLeft(beat.Info.Life)}); err != nil {
 		return err
 	}
 	m, err := conn.Receive(welcomeLimit)
@@ -110,6 +116,16 @@
 	return newSession(h, conn, *m.Welcome, *beat).run(ctx)
 }
 
+// leaseLeft is how long leases on a life can last that this process extends,
+// nil when it has not listed that life yet.
+func (h *Hand) leaseLeft(l spar.Life) *time.Duration {
+	if h.held != l {
+		return nil
+	}
+	left := max(h.heldUntil-h.clock(), 0)
+	return &left
+}
+
 func epochOf(m *link.Down) int64 {
 	if m.Welcome == nil {
 		return 0
--- a/agent/hand/orders.go
+++ b/agent/hand/orders.go
@@ -62,14 +62,15 @@
 // was read before the heartbeat was sent, so the lease ends no later than the
 // owner counts on, also when this machine was suspended in between.
 func (s *session) granted(beat int64) {
-	clock, ok := s.clocks[beat]
+	b, ok := s.sent[beat]
 	if !ok {
 		return
 	}
-	s.until = max(s.until, clock+s.lease.Milliseconds())
-	for b := range s.clocks {
-		if b <= beat {
-			delete(s.clocks, b)
+	s.until = max(s.until, b.clock+s.lease.Milliseconds())
+	s.heldUntil = max(s.heldUntil, b.at+s.lease)
+	for n := range s.sent {
+		if n <= beat {
+			delete(s.sent, n)
 		}
 	}
 }
--- a/agent/hand/session.go
+++ b/agent/hand/session.go
@@ -39,8 +39,8 @@
 	mu sync.Mutex
 	// until ends the lease, on the worker's clock.
 	until int64
-	// clocks are the worker's clock at or before each heartbeat not granted.
-	clocks  map[int64]int64
+	// sent are the heartbeats that are not granted yet.
+	sent    map[int64]sentBeat
 	beat    int64
 	beatAt  time.Time
 	acked   int64
@@ -55,6 +55,14 @@
 	news      chan struct{}
 }
 
+// sentBeat is a heartbeat to the owner.
+type sentBeat struct {
+	// clock is the worker's clock at or before its sending.
+	clock int64
+	// at is when it was sent, as steady time.
+	at time.Duration
+}
+
 type runKey struct {
 	task spar.TaskRef
 	run  int64
@@ -64,7 +72,7 @@
 	return &session{
 		Hand: h, conn: c, lease: w.Lease, slots: make(chan struct{}, parallel),
 		target: spar.Target{Address: b.Address, Life: b.Info.Life, Token: w.Token},
-		clocks: map[int64]int64{}, rows: map[spar.TaskRef]spar.Running{}, unsettled: map[runKey]int64{},
+		sent:   map[int64]sentBeat{}, rows: map[spar.TaskRef]spar.Running{}, unsettled: map[runKey]int64{},
 		acks: make(chan struct{}, 1), news: make(chan struct{}, 1),
 	}
 }
@@ -81,6 +89,10 @@
 	if err != nil {
 		return err
 	}
+	if s.held != s.target.Life {
+		// An earlier process may have extended leases until a moment ago.
+		s.held, s.heldUntil = s.target.Life, s.clock()+s.lease
+	}
 	if err := s.report(first, true); err != nil {
 		return err
 	}
@@ -213,7 +225,7 @@
 	if all || now.Sub(s.beatAt) >= beatEvery {
 		s.beat++
 		s.beatAt = now
-		s.clocks[s.beat] = l.Clock
+		s.sent[s.beat] = sentBeat{clock: l.Clock, at: s.clock()}
 		m.Beat = s.beat
 	}
 	m.Outcomes, s.results = s.results, nil
--- a/entry/owner/session.go
+++ b/entry/owner/session.go
@@ -71,7 +71,7 @@
 		old.conn.Close()
 	}
 	t.sessions[s.node] = s
-	t.core.Connect(s.node, *hello.Worker, s.token, time.Now())
+	t.core.Connect(s.node, *hello.Worker, s.token, hello.Lease, time.Now())
 	s.out <- &link.Down{Welcome: &link.Welcome{Epoch: t.epoch, Token: s.token, Lease: t.settings.lease()}}
 	return s
 }
--- a/link/messages.go
+++ b/link/messages.go
@@ -10,6 +10,10 @@
 type Up struct {
 	// Node names the agent's instance; it is set in the first message.
 	Node string `msgpack:"n,omitempty"`
+	// Lease is how long leases on the worker's life can still last at most, as
+	// far as the agent has extended them itself; nil when an earlier process may
+	// have. It is set in the first message.
+	Lease *time.Duration `msgpack:"v,omitempty"`
 	// Worker is what the worker last told of itself, when that has changed.
 	Worker *spar.WorkerInfo `msgpack:"w,omitempty"`
 	// Left says that the worker has said goodbye and answers no more.
--- a/prove/world/world_test.go
+++ b/prove/world/world_test.go
@@ -176,7 +176,7 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	c := w.common(n.name)
 	n.beats = hand.NewBeats(c, hand.Format{})
-	h := hand.NewHand(c, n.name, n.beats, n.calls, n.client, w.net.dialer(n.name))
+	h := hand.NewHand(c, n.name, n.beats, n.calls, n.client, w.net.dialer(n.name), func() time.Duration { return time.Since(w.began) })
 	n.cancel, n.end = cancel, h.Run(ctx)
 }
 
--- a/shard/bench_test.go
+++ b/shard/bench_test.go
@@ -47,7 +47,7 @@
 func (w *world) life(node string, life spar.Life, running ...spar.Running) {
 	w.token++
 	w.tokens[node] = w.token
-	w.core.Connect(node, info(life), w.token, w.now)
+	w.core.Connect(node, info(life), w.token, nil, w.now)
 	w.report(node, &link.Up{Listed: true, Running: running, Beat: 1})
 	w.core.Grant(node, w.token, w.now)
 }
--- a/shard/core_test.go
+++ b/shard/core_test.go
@@ -135,13 +135,13 @@
 		w.submit("j1", "checks", check(2))
 		all := w.expectStarts(w.turn(), 2)
 		w.worker("n2")
-		w.core.Connect("n1", info(spar.Life{ID: "i-n1", Born: 2}), 99, w.now)
+		w.core.Connect("n1", info(spar.Life{ID: "i-n1", Born: 2}), 99, nil, w.now)
 		w.tokens["n1"] = 99
 		w.expectStarts(w.turn(), 0)
 		w.core.Disconnect("n1", 99)
 		w.pass(12 * time.Second)
 		w.expectStarts(w.turn(), 0)
-		w.core.Connect("n1", info(spar.Life{ID: "i-n1", Born: 2}), 100, w.now)
+		w.core.Connect("n1", info(spar.Life{ID: "i-n1", Born: 2}), 100, nil, w.now)
 		w.tokens["n1"] = 100
 		// The first order came late and was carried out in the new life.
 		w.report("n1", &link.Up{Listed: true, Running: []spar.Running{{Task: all[0].Task, Run: 1}}})
@@ -370,3 +370,33 @@
 		w.expectState("j1", shard.Completed)
 	}},
 }
+
+// A new owner need not wait for the longest time when the agent tells how long
+// leases can last, or when a new process of the agent bounds them.
+func TestAgentTellsHowLongLeasesLast(t *testing.T) {
+	second := time.Second
+	for name, c := range map[string]struct {
+		lease         *time.Duration
+		within, after time.Duration
+	}{
+		"told":     {&second, second, second + limits.Lease/50 + 60*time.Millisecond},
+		"not told": {nil, limits.Lease, limits.Lease + limits.Lease/50 + 60*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.worker("n1")
+			w.submit("j1", "checks", check(1))
+			w.expectStarts(w.turn(), 1)
+			w.takeover(12 * time.Second)
+			w.worker("n2")
+			// The agent is there, and its worker does not answer.
+			w.core.Connect("n1", info(spar.Life{ID: "i-n1", Born: 1}), 77, c.lease, w.now)
+			w.core.Disconnect("n1", 77)
+			w.pass(c.within)
+			w.core.Grant("n2", w.tokens["n2"], w.now)
+			w.expectStarts(w.turn(), 0)
+			w.pass(c.after - c.within)
+			w.expectStarts(w.turn(), 1)
+		})
+	}
+}
--- a/shard/report.go
+++ b/shard/report.go
@@ -19,10 +19,21 @@
 // the same, an order to the last life may still come late and be carried out in
 // the new one, under a lease as long as there is; so what was on the worker
 // stays there until the new life has been listed under the session's token.
-func (c *Core) Connect(node string, info spar.WorkerInfo, token int64, now time.Time) {
+//
+// A worker has one agent at a time, and nobody else extends its leases. So what
+// the agent says of them holds, and without that they last no longer than a
+// grant of this moment.
+func (c *Core) Connect(node string, info spar.WorkerInfo, token int64, lease *time.Duration, now time.Time) {
 	old := c.workers[node]
 	if old != nil && old.info.Life == info.Life {
 		old.info, old.token, old.listed = info, token, false
+		left := c.limits.Lease
+		if lease != nil {
+			left = min(*lease, left)
+		}
+		if end := now.Add(left + ClockSlack(c.limits.Lease)); !old.renamed && end.Before(old.expires) {
+			old.expires = end
+		}
 		return
 	}
 	w := &worker{node: node, info: info, token: token, runs: map[*run]bool{}, troubleAt: now}
