No fill goes where a tail is over its target

Cause: a story told by beryl why shows a fill placed on a worker whose serving task had been over its target for 1.6 s, and taken away 0.3 s later.

Change: workers with a task over its target get no fill. beryl why passes over lines of another format.

--- a/beryl/cmds/logs.go
+++ b/beryl/cmds/logs.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"bufio"
 	"cmp"
 	"fmt"
 	"io"
@@ -51,14 +52,29 @@
 	return parseLog(subject, f)
 }
 
+// maxLine bounds a log line, in bytes.
+const maxLine = 1 << 20
+
 // parseLog keeps the lines that speak of the subject. Text before a line's
-// first pair, such as a collector's own time, is passed over.
+// first pair, such as a collector's own time, is passed over, and so are lines
+// of another format.
 func parseLog(subject string, in io.Reader) ([]entry, error) {
 	var out []entry
-	d := logfmt.NewDecoder(in)
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		if e, about := parseLine(subject, lines.Text()); about && e.msg != "" {
+			out = append(out, e)
+		}
+	}
+	return out, lines.Err()
+}
+
+func parseLine(subject, line string) (entry, bool) {
+	var e entry
+	about := false
+	d := logfmt.NewDecoder(strings.NewReader(line))
 	for d.ScanRecord() {
-		var e entry
-		about := false
 		for d.ScanKeyval() {
 			key, value := string(d.Key()), string(d.Value())
 			switch key {
@@ -76,11 +92,8 @@
 			}
 			about = about || speaksOf(key, value, subject)
 		}
-		if about && e.msg != "" {
-			out = append(out, e)
-		}
 	}
-	return out, d.Err()
+	return e, about
 }
 
 // speaksOf tells whether a pair names the subject, or a task of it.
--- a/shard/colo.go
+++ b/shard/colo.go
@@ -99,6 +99,16 @@
 	return out
 }
 
+// isDisturbed tells whether a serving task on the worker is over its target.
+func (w *worker) isDisturbed() bool {
+	for r := range w.runs {
+		if !r.over.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // relieve takes weight off the serving tasks over their targets: the fills that
 // press most go to another worker where one will have them, and are slowed
 // down otherwise, until the rest presses little.
--- a/shard/colo_test.go
+++ b/shard/colo_test.go
@@ -140,3 +140,17 @@
 	w.worker("n1", spar.Running{Task: s.Task, Run: s.Run, Percent: 100, Figure: 8})
 	w.expectStarts(w.turn(), 0)
 }
+
+func TestNoFillGoesWhereATailIsOverItsTarget(t *testing.T) {
+	w := newWorld(t)
+	w.worker("n1")
+	w.submit("s", "watches", serve("desk"))
+	s := w.expectStarts(w.turn(), 1)[0]
+	w.pass(500 * time.Millisecond)
+	w.tails("n1", s, 200)
+	w.submit("f", "plans", fill("audit", 1))
+	w.expectStarts(w.turn(), 0)
+	w.pass(500 * time.Millisecond)
+	w.tails("n1", s, 8)
+	w.expectStarts(w.turn(), 1)
+}
--- a/shard/pick.go
+++ b/shard/pick.go
@@ -10,6 +10,7 @@
 type candidate struct {
 	*worker
 	usage
+	disturbed bool
 }
 
 // servingShare is the part of their reservation that serving tasks are taken
@@ -31,7 +32,7 @@
 		if w.token == 0 || !w.listed || w.info.Draining || c.closed[w.info.Domain] || now.Before(w.asideUntil) {
 			continue
 		}
-		out = append(out, &candidate{worker: w, usage: w.usage()})
+		out = append(out, &candidate{worker: w, usage: w.usage(), disturbed: w.isDisturbed()})
 	}
 	slices.SortFunc(out, func(a, b *candidate) int { return strings.Compare(a.node, b.node) })
 	return out
@@ -69,7 +70,7 @@
 // accepts tells whether a worker may take a task.
 func (c *Core) accepts(w *candidate, t *task, now time.Time) bool {
 	s := t.step
-	return w.info.Service == s.job.policy.Service && w.fits(s) && w.allows(s) && (!s.Fills || !now.Before(w.noFills))
+	return w.info.Service == s.job.policy.Service && w.fits(s) && w.allows(s) && (!s.Fills || !w.disturbed && !now.Before(w.noFills))
 }
 
 // leastPace is the slowest pace that a fill accepts.
