Fills count on more of what serving tasks leave

Cause: bursts of long jobs waited beside processors that serving tasks reserve and do not use: they use 0.42 of it on the mean, and 0.6 was taken for used.

Change: 0.45 is taken for used.

--- a/prove/soak/deployment_test.go
+++ b/prove/soak/deployment_test.go
@@ -61,6 +61,7 @@
 	listen          string
 	mu              sync.Mutex
 	proc            *stage.Proc
+	started         time.Time
 }
 
 func newDeployment(t *testing.T, entries, agents int, random *rand.Rand) *deployment {
--- a/shard/colo_test.go
+++ b/shard/colo_test.go
@@ -154,3 +154,20 @@
 	w.tails("n1", s, 8)
 	w.expectStarts(w.turn(), 1)
 }
+
+// A burst of long jobs comes to workers that are reserved for serving tasks,
+// which use less than half of it.
+func TestBurstOfFillsUsesWhatServingTasksLeave(t *testing.T) {
+	w := newWorld(t)
+	w.worker("n1")
+	reserved := serve("desk")
+	reserved.Count = 5
+	w.submit("s", "watches", reserved)
+	w.expectStarts(w.turn(), 5)
+	small := fill("audit", 8)
+	small.Size.CPUMilli = 1000
+	w.submit("f", "plans", small)
+	// Of 16 processors 15 are reserved; about 9 are free in fact. What is not
+	// known yet of the image bounds the first try to 6.
+	w.expectStarts(w.turn(), 6)
+}
--- a/shard/pick.go
+++ b/shard/pick.go
@@ -15,7 +15,7 @@
 
 // servingShare is the part of their reservation that serving tasks are taken
 // to use when fills are placed beside them.
-const servingShare = 0.6
+const servingShare = 0.45
 
 // pressureCost weighs pressure on serving tasks against room, when a worker
 // is chosen for a fill.
