An outage of the store costs fewer calls and log lines

Change: pauses double up to 200 ms; the first try and the answer are logged, and of sessions that fail in a row the first and every twentieth.

--- a/agent/hand/hand.go
+++ b/agent/hand/hand.go
@@ -21,6 +21,10 @@
 	silentLimit = 2500 * time.Millisecond
 	// sessionPause is the pause between two sessions.
 	sessionPause = 100 * time.Millisecond
+	// shortSession is the time below which a session counts as one that failed;
+	// of those in a row only the first and every tellEvery-th is logged.
+	shortSession = time.Second
+	tellEvery    = 20
 	// ownerWait bounds how long a read for a new owner waits; a connection that
 	// has gone silent is found out after it.
 	ownerWait = 3 * time.Second
@@ -65,9 +69,21 @@
 	done := make(chan error, 1)
 	following := h.place.Run(ctx)
 	go func() {
+		failures := 0
 		for ctx.Err() == nil {
-			if err := h.next(ctx); err != nil && ctx.Err() == nil {
-				h.Warn("session ends", "err", err)
+			begun := time.Now()
+			err := h.next(ctx)
+			switch {
+			case err == nil || ctx.Err() != nil || time.Since(begun) > shortSession:
+				failures = 0
+			default:
+				failures++
+			}
+			if err != nil && ctx.Err() == nil {
+				h.Counter("sessions_ended").Inc(1)
+				if failures <= 1 || failures%tellEvery == 0 {
+					h.Warn("session ends", "failures", failures, "err", err)
+				}
 			}
 			h.wait(ctx)
 		}
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -31,8 +31,10 @@
 	// staleAfter is the age of that knowledge at which no task is started: a
 	// cancel or a closed domain may have been missed.
 	staleAfter = 1800 * time.Millisecond
-	// retryPause is the pause before a store call is repeated.
-	retryPause = 50 * time.Millisecond
+	// retryPause is the first pause before a store call is repeated; pauses
+	// double up to longPause, so that an outage costs few calls.
+	retryPause = 25 * time.Millisecond
+	longPause  = 200 * time.Millisecond
 	// tokenBits are the bits of a fencing token that count an owner's sessions.
 	tokenBits = 20
 )
@@ -167,16 +169,24 @@
 
 // persist repeats a store call until it has an answer that is final.
 func (t *term) persist(ctx context.Context, call func() error) error {
-	for {
+	pause := retryPause
+	for tries := 1; ; tries++ {
 		err := call()
 		if err == nil || errors.Is(err, spar.ErrFenced) || errors.Is(err, spar.ErrSequence) {
+			if tries > 1 {
+				t.Info("store call answered", "epoch", t.epoch, "tries", tries, "err", err)
+			}
 			return err
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		t.Warn("store call repeated", "err", err)
-		track.Pause(ctx, retryPause)
+		t.Counter("store_repeats").Inc(1)
+		if tries == 1 {
+			t.Warn("store call repeated", "epoch", t.epoch, "err", err)
+		}
+		track.Pause(ctx, pause)
+		pause = min(2*pause, longPause)
 	}
 }
 
