--- /dev/null
+++ b/prove/pages/story_test.go
@@ -0,0 +1,45 @@
+package pages
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Each command that the page on failures shows gives the lines that it shows.
+func TestStoriesOfOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	beryl, err := filepath.Abs("../../bin/beryl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, commands, lines := "", 0, 0
+	for line := range strings.SplitSeq(string(page), "\n") {
+		command, isCommand := strings.CutPrefix(line, "    $ beryl ")
+		shown, isShown := strings.CutPrefix(line, "    ")
+		switch {
+		case isCommand:
+			c := exec.CommandContext(t.Context(), beryl, strings.Fields(command)...)
+			c.Dir = "testdata"
+			data, err := c.Output()
+			if err != nil {
+				t.Fatalf("%s: %v", command, err)
+			}
+			out = string(data)
+			commands++
+		case isShown:
+			lines++
+			if !strings.Contains(out, shown) {
+				t.Errorf("the page shows %q, which no command gives", shown)
+			}
+		}
+	}
+	if commands < 5 || lines < 15 {
+		t.Errorf("only %d commands and %d lines", commands, lines)
+	}
+}
