Each owner is told that a worker has left

Change: an agent whose worker has said goodbye still connects to each new owner and says so once the worker does not answer.

--- a/agent/hand/beats.go
+++ b/agent/hand/beats.go
@@ -103,6 +103,11 @@
 
 func (b *Beats) leave(c *fasthttp.RequestCtx) {
 	id, _ := c.UserValue("id").(string)
+	b.Goodbye(id)
+}
+
+// Goodbye notes that a worker is about to end by plan.
+func (b *Beats) Goodbye(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.last != nil && b.last.Info.Life.ID == id {
--- a/agent/hand/hand.go
+++ b/agent/hand/hand.go
@@ -55,6 +55,8 @@
 	// they end at the latest.
 	held      spar.Life
 	heldUntil time.Duration
+	// told is the epoch of the owner that knows that the worker has left.
+	told int64
 }
 
 // NewHand returns the hand of a node.
@@ -107,7 +109,7 @@
 // next runs one session with the owner, if both it and the worker are known.
 func (h *Hand) next(ctx context.Context) error {
 	at, beat := h.place.Load(), h.beats.Load()
-	if at == nil || beat == nil || h.beats.HasLeft(beat.Info.Life) {
+	if at == nil || beat == nil || h.beats.HasLeft(beat.Info.Life) && h.told == at.Epoch {
 		return nil
 	}
 	c, err := h.dial(ctx, at.Agents)
--- a/agent/hand/session.go
+++ b/agent/hand/session.go
@@ -87,7 +87,7 @@
 	}()
 	first, err := s.first(ctx)
 	if err != nil {
-		return err
+		return s.farewell(err)
 	}
 	if s.held != s.target.Life {
 		// An earlier process may have extended leases until a moment ago.
@@ -111,6 +111,20 @@
 	return <-all
 }
 
+// farewell tells the owner when the worker that does not answer has said
+// goodbye: nothing runs there any more. Each owner has to be told, since a next
+// one may count on the worker's runs.
+func (s *session) farewell(why error) error {
+	if !s.beats.HasLeft(s.target.Life) {
+		return why
+	}
+	if err := s.conn.Send(&link.Up{Left: true}); err != nil {
+		return errors.CombineErrors(why, err)
+	}
+	s.told = s.epoch
+	return errors.Wrap(why, "worker has left")
+}
+
 // first lists the worker under the session's token, which shuts out every
 // order of an earlier session that was not carried out yet.
 func (s *session) first(ctx context.Context) (spar.Listed, error) {
@@ -146,11 +160,8 @@
 		s.Timer("hold").Record(time.Since(begun))
 		if err != nil {
 			failures++
-			if s.beats.HasLeft(s.target.Life) {
-				return errors.CombineErrors(errors.New("worker has left"), s.conn.Send(&link.Up{Left: true}))
-			}
-			if errors.Is(err, spar.ErrOtherLife) || failures >= holdTries {
-				return errors.Wrap(err, "worker not held")
+			if errors.Is(err, spar.ErrOtherLife) || failures >= holdTries || s.beats.HasLeft(s.target.Life) {
+				return s.farewell(errors.Wrap(err, "worker not held"))
 			}
 			s.Warn("worker not held", "err", err, "failures", failures)
 			track.Pause(ctx, holdPause)
--- /dev/null
+++ b/prove/world/leave_test.go
@@ -0,0 +1,55 @@
+package world_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// limit is two seconds until the shard has a new owner, 1.4 s until the agent
+// gives its worker up, three steps of half a second, and as much again.
+const limit = 8 * time.Second
+
+// A worker leaves by plan while the shard changes hands: its agent has no
+// worker to list any more, and must still tell the next owner that nothing runs
+// there. A next owner that hears nothing would wait for 12 s.
+func TestWorkerLeavesWhileTheShardChangesHands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(ctx, t, 4, 2, 6, io.Discard)
+		w.even = true
+		ticks := make(chan struct{})
+		go w.tick(ticks)
+		defer func() {
+			for _, e := range w.entries {
+				w.stopEntry(e)
+			}
+			for _, n := range w.nodes {
+				w.stopNode(n)
+			}
+			cancel()
+			<-ticks
+			synctest.Wait()
+		}()
+		wait(ctx, 3*time.Second)
+		for range 6 {
+			w.submit(w.entries[0])
+		}
+		wait(ctx, 300*time.Millisecond)
+		owner, leaving := w.ownerNow(), w.nodes[0]
+		life, _ := leaving.worker.Life()
+		leaving.beats.Goodbye(life.ID)
+		leaving.worker.Crash()
+		w.killEntry(owner)
+		begun := time.Now()
+		for len(w.open()) > 0 {
+			if took := time.Since(begun); took > limit {
+				t.Fatalf("not ended %s after the worker left: %v", took, w.open())
+			}
+			wait(ctx, 100*time.Millisecond)
+		}
+		w.expectSound()
+	})
+}
--- a/prove/world/world_test.go
+++ b/prove/world/world_test.go
@@ -45,6 +45,8 @@
 	closed map[string]time.Time
 	rules  int64
 	later  []later
+	// even has every task work for half a second and end well.
+	even bool
 }
 
 // job is what the world knows of a job that was accepted.
@@ -208,6 +210,9 @@
 func (w *world) work(t spar.TaskRef, _ int64) (time.Duration, spar.Ending) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.even {
+		return 500 * time.Millisecond, spar.EndDone
+	}
 	took := time.Duration(200+w.random.IntN(3000)) * time.Millisecond
 	if w.jobs[t.Job].hopeless || w.random.Float64() < 0.03 {
 		return took, spar.EndFailed
