--- a/agent/batch/app.go
+++ b/agent/batch/app.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net"
-	"os"
 	"os/signal"
 	"syscall"
 
@@ -114,20 +113,8 @@
 	r := router.New()
 	p.Beats.Routes(r)
 	ends := []<-chan error{p.Hand.Run(ctx), metrics, common.ServeFast(ctx, l, r.Handler, maxHeartbeat)}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-reload:
-			d.Info("reload asked for: the settings take effect at the next start")
-		}
-	}
+	d.AwaitStop(ctx)
 	d.Info("agent stops")
-	for _, e := range ends {
-		if err := <-e; err != nil {
-			d.Warn("not ended cleanly", "err", err)
-		}
-	}
+	d.AwaitEnds(ends)
 	return nil
 }
--- a/entry/batch/app.go
+++ b/entry/batch/app.go
@@ -9,7 +9,6 @@
 	"encoding/hex"
 	"io"
 	"net"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -156,15 +155,7 @@
 		p.Config.Run(serving), p.Place.Run(serving), metrics,
 		p.Desk.Serve(serving, p.Listeners.front), p.Desk.ServeReady(serving, p.Listeners.ready),
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-reload:
-			d.Info("reload asked for: the settings take effect at the next start")
-		}
-	}
+	d.AwaitStop(ctx)
 	d.Info("entry stops", "grace", p.Settings.grace())
 	p.Desk.Stop()
 	if err := <-owning; err != nil {
@@ -172,11 +163,7 @@
 	}
 	track.Pause(serving, p.Settings.grace())
 	stopServing()
-	for _, e := range ends {
-		if err := <-e; err != nil {
-			d.Warn("not ended cleanly", "err", err)
-		}
-	}
+	d.AwaitEnds(ends)
 	d.Info("entry has stopped")
 	return nil
 }
