An acknowledgement is sent to a worker once

A worker was restarted under its name while a session went on; a start that was repeated ran and ended in the new life, and the next call for its list carried the last life's acknowledgement again, so the new life forgot that end before anybody had heard of it. The task was done twice.

Change: a call carries an acknowledgement only until the worker has answered one with it.

--- /dev/null
+++ b/agent/hand/ack_test.go
@@ -0,0 +1,83 @@
+package hand
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/link"
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// recorder is a worker that lists one end until it is acknowledged, and keeps
+// what the calls carried.
+type recorder struct {
+	spar.Worker
+	mu    sync.Mutex
+	acked []int64
+}
+
+var life = spar.Life{ID: "i-1", Born: 5}
+
+func (r *recorder) Hold(_ context.Context, _ spar.Target, acked, _ int64, _ time.Duration) (spar.Listed, error) {
+	time.Sleep(5 * time.Millisecond)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.acked = append(r.acked, acked)
+	l := spar.Listed{Clock: 1, Born: life.Born}
+	for _, a := range r.acked {
+		if a >= 7 {
+			return l, nil
+		}
+	}
+	l.Ended = []spar.Ended{{Number: 7, Task: spar.TaskRef{Job: "j"}, Run: 1, How: spar.EndDone}}
+	return l, nil
+}
+
+// An acknowledgement that is sent again and again would reach a worker that was
+// restarted under its name, and have it forget ends that nobody has heard of
+// (soak, seed 316).
+func TestAcknowledgementIsSentOnce(t *testing.T) {
+	c := common.Common{Logger: log.NewNopLogger(), Scope: tally.NoopScope}
+	b := NewBeats(c, Format{})
+	report := Report{Info: spar.WorkerInfo{Life: life}, Seq: 1}
+	b.Take(report)
+	r := &recorder{}
+	h := NewHand(c, "n", b, r, nil, nil, func() time.Duration { return 0 })
+	near, far := net.Pipe()
+	owner := link.NewConn[link.Up, link.Down](far)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	s := newSession(h, link.NewConn[link.Down, link.Up](near), link.Welcome{Epoch: 1, Token: 1, Lease: time.Second}, report)
+	end := make(chan error, 1)
+	go func() { end <- s.run(ctx) }()
+	for ctx.Err() == nil {
+		m, err := owner.Receive(time.Second)
+		if err != nil {
+			break
+		}
+		if len(m.Ended) > 0 {
+			go func() { _ = owner.Send(&link.Down{Acked: 7}) }()
+		}
+		if m.Beat >= 3 {
+			cancel()
+		}
+	}
+	<-end
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sent := 0
+	for _, a := range r.acked {
+		if a == 7 {
+			sent++
+		}
+	}
+	if sent != 1 {
+		t.Fatalf("the acknowledgement was sent %d times: %v", sent, r.acked)
+	}
+}
--- a/agent/hand/session.go
+++ b/agent/hand/session.go
@@ -149,6 +149,7 @@
 
 func (s *session) holdLoop(ctx context.Context) error {
 	failures := 0
+	forgotten := int64(0)
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		acked, until := s.acked, s.until
@@ -156,7 +157,7 @@
 		number := s.lists
 		s.mu.Unlock()
 		begun := time.Now()
-		l, err := s.worker.Hold(ctx, s.target, acked, until, holdWait)
+		l, err := s.worker.Hold(ctx, s.target, acknowledge(acked, forgotten), until, holdWait)
 		s.Timer("hold").Record(time.Since(begun))
 		if err != nil {
 			failures++
@@ -167,7 +168,7 @@
 			track.Pause(ctx, holdPause)
 			continue
 		}
-		failures = 0
+		failures, forgotten = 0, acked
 		s.settle(l, number)
 		if err := s.report(l, false); err != nil {
 			return err
@@ -179,6 +180,16 @@
 	return nil
 }
 
+// acknowledge is the number that a call carries. One that the worker has had is
+// not sent again: a worker that was restarted under its name a moment ago counts
+// its ends anew, and would forget some that nobody has heard of.
+func acknowledge(acked, forgotten int64) int64 {
+	if acked <= forgotten {
+		return 0
+	}
+	return acked
+}
+
 func (s *session) awaitAck(ctx context.Context) {
 	t := time.NewTimer(ackWait)
 	defer t.Stop()
