A worker that is slow by itself still takes fills

Serving tasks on slow workers stayed over their targets without any fill; since such a worker got no fill, and was banned anew at every look, two plans waited for ever beside free room.

Change: a worker counts as disturbed only while a fill is there or was a moment ago, and is banned only when fills were taken away.

Test: TestWorkerThatIsSlowByItselfStillTakesFills failed before. The test TestNoFillGoesWhereATailIsOverItsTarget asked for the rule without any fill on the worker, which the trace shows to be wrong; it now asks for it with one there and right after it has left.

--- a/shard/colo.go
+++ b/shard/colo.go
@@ -100,14 +100,16 @@
 	return out
 }
 
-// isDisturbed tells whether a serving task on the worker is over its target.
-func (w *worker) isDisturbed() bool {
+// isDisturbed tells whether a serving task on the worker is over its target, and
+// fills may be the cause: one is there, or was until a moment ago. A worker that
+// is slow by itself must not keep fills waiting for ever.
+func (w *worker) isDisturbed(now time.Time) bool {
+	over, fills := false, now.Sub(w.filled) < settleTime
 	for r := range w.runs {
-		if !r.over.IsZero() {
-			return true
-		}
+		over = over || !r.over.IsZero()
+		fills = fills || r.task.step.Fills
 	}
-	return false
+	return over && fills
 }
 
 // relieve takes weight off the serving tasks over their targets: the fills that
@@ -198,9 +200,9 @@
 	for r := range w.runs {
 		if r.task.step.Fills {
 			c.evict(r, "tail over its target for long", now)
+			w.noFills = now.Add(banTime)
 		}
 	}
-	w.noFills = now.Add(banTime)
 }
 
 func (c *Core) evict(r *run, why string, now time.Time) {
--- a/shard/core.go
+++ b/shard/core.go
@@ -162,6 +162,9 @@
 	delete(r.worker.runs, r)
 	delete(c.stops, r)
 	delete(c.paces, r)
+	if r.task.step.Fills {
+		r.worker.filled = c.now
+	}
 	if s := r.task.step; s.Fills && r.figure > 0 && r.worker.info.Size.CPUMilli > 0 {
 		part := float64(r.figure) / float64(r.worker.info.Size.CPUMilli)
 		r.worker.echoes = append(r.worker.echoes, echo{share: clash.Share{Image: s.Image, Part: part}, at: c.now})
--- a/shard/pick.go
+++ b/shard/pick.go
@@ -32,7 +32,7 @@
 		if w.token == 0 || !w.listed || w.info.Draining || c.closed[w.info.Domain] || now.Before(w.asideUntil) {
 			continue
 		}
-		out = append(out, &candidate{worker: w, usage: w.usage(), disturbed: w.isDisturbed()})
+		out = append(out, &candidate{worker: w, usage: w.usage(), disturbed: w.isDisturbed(now)})
 	}
 	slices.SortFunc(out, func(a, b *candidate) int { return strings.Compare(a.node, b.node) })
 	return out
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -33,6 +33,8 @@
 	// acted on again, and noFills until when no fill is placed.
 	looked, settled, noFills time.Time
 	echoes                   []echo
+	// filled is when the last fill left.
+	filled time.Time
 	// gone says that the worker's life is over.
 	gone bool
 }
