--- a/shard/commit.go
+++ b/shard/commit.go
@@ -40,7 +40,6 @@
 	for j := range c.changed {
 		out.Records = append(out.Records, spar.Record{Key: j.ID, Value: j.encode()})
 		out.states[j] = j.state
-		j.dirty = false
 	}
 	for _, id := range c.drops {
 		out.Records = append(out.Records, spar.Record{Key: id})
--- a/shard/core.go
+++ b/shard/core.go
@@ -23,7 +23,6 @@
 // time.
 type Core struct {
 	limits  Limits
-	rules   *spar.Rules
 	queues  map[string]spar.Queue
 	closed  map[string]bool
 	jobs    map[string]*job
@@ -70,7 +69,6 @@
 // SetRules takes a configuration. Queues that it drops keep their last rules
 // for the jobs that are in them.
 func (c *Core) SetRules(r *spar.Rules) {
-	c.rules = r
 	for _, q := range r.Queues {
 		c.queues[q.Name] = q
 	}
@@ -153,7 +151,6 @@
 }
 
 func (c *Core) dirty(j *job) {
-	j.dirty = true
 	c.changed[j] = true
 }
 
--- a/shard/job.go
+++ b/shard/job.go
@@ -32,7 +32,6 @@
 	closed time.Time
 	// arrived is when this owner first saw the job.
 	arrived time.Time
-	dirty   bool
 }
 
 // occur is one occurrence of a job's steps.
@@ -68,8 +67,6 @@
 	notBefore time.Time
 	// shy is the node where the task last failed.
 	shy string
-	// percent is the progress last seen.
-	percent int
 }
 
 // run is one run of a task on a worker.
--- a/shard/report.go
+++ b/shard/report.go
@@ -40,7 +40,6 @@
 	c.confirm(r, now)
 	if row.Percent != r.percent {
 		r.percent, r.moved = row.Percent, now
-		r.task.percent = row.Percent
 	}
 	r.figure = row.Figure
 	if row.Saved != "" {
