The holder of the last partition owns the shard, not of the first

Cause: every entry that joins the group takes a share of the owners topic's partitions, and the store takes each member's first ones for it.

The stand-in deals as the platform does, first ones away.

Test: prove/world TestNewcomersLeaveTheOwner; fails with partition 0 ("after a start of e1 the owner is e1, want e0").

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -15,8 +15,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// The topics of the shard, and the group whose first partition makes a member
-// its owner.
+// The topics of the shard, and the group whose members may own it.
 const (
 	JobsTopic  = "jobs"
 	stateTopic = "state"
@@ -100,7 +99,7 @@
 
 // follow begins, extends or ends the term by what the group says.
 func (o *Owner) follow(ctx context.Context, m spar.Membership, until time.Duration) {
-	holds := slices.Contains(m.Parts, 0)
+	holds := slices.Contains(m.Parts, o.settings.seat())
 	t := o.current()
 	switch {
 	case !holds && t != nil:
--- a/entry/owner/settings.go
+++ b/entry/owner/settings.go
@@ -4,6 +4,10 @@
 
 // Settings of the election and of what an owner does.
 type Settings struct {
+	// Partitions is how many partitions the store's topics have. The owner is
+	// the member of the group that holds the last one: members that make room
+	// for a newcomer give up their first ones.
+	Partitions int `json:"partitions" jsonschema:"minimum=1,maximum=10000,description=number of partitions of the store's topics"`
 	// TTLMS is how long a member of the group may be silent.
 	TTLMS int64 `json:"ttl_ms" jsonschema:"minimum=1000,maximum=30000,description=time after which a silent owner is replaced in ms"`
 	// JoinMS is the interval of joins.
@@ -21,9 +25,12 @@
 
 // DefaultSettings suit a store that answers within some milliseconds.
 func DefaultSettings() Settings {
-	return Settings{TTLMS: 2000, JoinMS: 400, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, KeepMS: 150_000}
+	return Settings{Partitions: 1, TTLMS: 2000, JoinMS: 400, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, KeepMS: 150_000}
 }
 
+// seat is the partition that makes its holder the owner.
+func (s Settings) seat() int { return max(s.Partitions, 1) - 1 }
+
 func (s Settings) ttl() time.Duration   { return time.Duration(s.TTLMS) * time.Millisecond }
 func (s Settings) join() time.Duration  { return time.Duration(s.JoinMS) * time.Millisecond }
 func (s Settings) lease() time.Duration { return time.Duration(s.LeaseMS) * time.Millisecond }
--- a/prove/world/leave_test.go
+++ b/prove/world/leave_test.go
@@ -22,17 +22,7 @@
 		w.even = true
 		ticks := make(chan struct{})
 		go w.tick(ticks)
-		defer func() {
-			for _, e := range w.entries {
-				w.stopEntry(e)
-			}
-			for _, n := range w.nodes {
-				w.stopNode(n)
-			}
-			cancel()
-			<-ticks
-			synctest.Wait()
-		}()
+		defer w.close(cancel, ticks)
 		wait(ctx, 3*time.Second)
 		for range 6 {
 			w.submit(w.entries[0])
--- a/prove/world/random_test.go
+++ b/prove/world/random_test.go
@@ -48,22 +48,14 @@
 		out = io.Discard
 	}
 	w := newWorld(ctx, t, seed, 3, 5, &locked{w: out})
+	ticks := make(chan struct{})
+	go w.tick(ticks)
 	defer func() {
-		for _, e := range w.entries {
-			w.stopEntry(e)
-		}
-		for _, n := range w.nodes {
-			w.stopNode(n)
-		}
-		cancel()
-		synctest.Wait()
+		w.close(cancel, ticks)
 		if t.Failed() && *talk {
 			os.Stdout.Write(logs.Bytes())
 		}
 	}()
-	ticks := make(chan struct{})
-	go w.tick(ticks)
-	defer func() { cancel(); <-ticks }()
 	wait(ctx, 3*time.Second)
 	for end := time.Now().Add(troubled); time.Now().Before(end); {
 		wait(ctx, time.Duration(100+w.random.IntN(700))*time.Millisecond)
@@ -87,6 +79,19 @@
 	}
 }
 
+// close stops everything.
+func (w *world) close(cancel context.CancelFunc, ticks <-chan struct{}) {
+	for _, e := range w.entries {
+		w.stopEntry(e)
+	}
+	for _, n := range w.nodes {
+		w.stopNode(n)
+	}
+	cancel()
+	<-ticks
+	synctest.Wait()
+}
+
 func (w *world) expectSound() {
 	if b := w.record.Found(); len(b) > 0 {
 		w.t.Fatalf("after %s: %v", time.Since(w.began), b)
--- a/prove/world/world_test.go
+++ b/prove/world/world_test.go
@@ -144,10 +144,16 @@
 	c := w.common(name)
 	watch := config.NewWatch(c, e.client, topic, w.decode)
 	clock := func() time.Duration { return time.Since(w.began) }
-	e.owner = owner.NewOwner(c, owner.DefaultSettings(), e.client, watch, name, link.Record{Agents: name, Peers: name}, w.net.listen(name), clock)
+	e.owner = owner.NewOwner(c, ownerSettings(), e.client, watch, name, link.Record{Agents: name, Peers: name}, w.net.listen(name), clock)
 	e.cancel, e.ends = cancel, []<-chan error{watch.Run(ctx), e.owner.Run(ctx)}
 }
 
+func ownerSettings() owner.Settings {
+	s := owner.DefaultSettings()
+	s.Partitions = store.Partitions
+	return s
+}
+
 // killEntry ends an entry without a word to the others: its way to the store
 // is cut before its context ends.
 func (w *world) killEntry(e *entry) {
--- a/stand/store/store.go
+++ b/stand/store/store.go
@@ -13,8 +13,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// parts is the number of partitions of a topic.
-const parts = 12
+// Partitions is the number of partitions of a topic.
+const Partitions = 12
 
 // repeats is how many of a producer's last appends are answered again.
 const repeats = 5
@@ -222,27 +222,17 @@
 	defer s.mu.Unlock()
 	g := s.group(name, now)
 	g.generation++
-	if n := len(g.owners); n > 0 && g.owners[0] != "" {
-		g.owners = append(g.owners[1:], g.owners[0])
-		names := slices.Sorted(maps.Keys(g.members))
-		i := slices.Index(names, g.owners[0])
-		g.owners[0] = names[(i+1)%len(names)]
+	names := slices.Sorted(maps.Keys(g.members))
+	for i, o := range g.owners {
+		if o != "" {
+			g.owners[i] = names[(slices.Index(names, o)+1)%len(names)]
+		}
 	}
 	for i := range g.since {
 		g.since[i] = 0
 	}
 }
 
-// Owner returns who holds the first partition of a group, for the tests.
-func (s *Store) Owner(name string, now time.Time) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if g := s.group(name, now); len(g.owners) > 0 {
-		return g.owners[0]
-	}
-	return ""
-}
-
 // group returns a group without the members that have been silent too long.
 func (s *Store) group(name string, now time.Time) *group {
 	if s.groups == nil {
@@ -250,7 +240,7 @@
 	}
 	g := s.groups[name]
 	if g == nil {
-		g = &group{members: map[string]*member{}, owners: make([]string, parts), since: make([]int64, parts)}
+		g = &group{members: map[string]*member{}, owners: make([]string, Partitions), since: make([]int64, Partitions)}
 		s.groups[name] = g
 	}
 	gone := false
@@ -266,17 +256,18 @@
 	return g
 }
 
-// deal spreads the partitions over the members, and moves as few as it can.
+// deal spreads the partitions over the members, and moves as few as it can:
+// members give their first ones away.
 func (g *group) deal() {
 	g.generation++
 	names := slices.Sorted(maps.Keys(g.members))
 	if len(names) == 0 {
-		g.owners = make([]string, parts)
+		g.owners = make([]string, Partitions)
 		return
 	}
-	most := (parts + len(names) - 1) / len(names)
+	most := (Partitions + len(names) - 1) / len(names)
 	count := map[string]int{}
-	for i, o := range g.owners {
+	for i, o := range slices.Backward(g.owners) {
 		if g.members[o] == nil || count[o] >= most {
 			g.owners[i] = ""
 			continue
