--- a/entry/owner/settings.go
+++ b/entry/owner/settings.go
@@ -10,6 +10,9 @@
 	Partitions int `json:"partitions" jsonschema:"minimum=1,maximum=10000,description=number of partitions of the store's topics"`
 	// TTLMS is how long a member of the group may be silent.
 	TTLMS int64 `json:"ttl_ms" jsonschema:"minimum=1000,maximum=30000,description=time after which a silent owner is replaced in ms"`
+	// LeastTTLMS is the shortest such time that the store accepts; a longer
+	// TTLMS counts instead.
+	LeastTTLMS int64 `json:"least_ttl_ms" jsonschema:"minimum=0,maximum=30000,description=shortest time after which the store takes a member for silent in ms"`
 	// JoinMS is the interval of joins.
 	JoinMS int64 `json:"join_ms" jsonschema:"minimum=50,maximum=10000,description=interval at which an owner renews its term in ms"`
 	// LeaseMS is what a grant to an agent is worth.
@@ -25,13 +28,15 @@
 
 // DefaultSettings suit a store that answers within some milliseconds.
 func DefaultSettings() Settings {
-	return Settings{Partitions: 1, TTLMS: 2000, JoinMS: 400, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, KeepMS: 150_000}
+	return Settings{Partitions: 1, TTLMS: 1000, JoinMS: 250, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, KeepMS: 150_000}
 }
 
 // seat is the partition that makes its holder the owner.
 func (s Settings) seat() int { return max(s.Partitions, 1) - 1 }
 
-func (s Settings) ttl() time.Duration   { return time.Duration(s.TTLMS) * time.Millisecond }
+func (s Settings) ttl() time.Duration {
+	return time.Duration(max(s.TTLMS, s.LeastTTLMS)) * time.Millisecond
+}
 func (s Settings) join() time.Duration  { return time.Duration(s.JoinMS) * time.Millisecond }
 func (s Settings) lease() time.Duration { return time.Duration(s.LeaseMS) * time.Millisecond }
 func (s Settings) grace() time.Duration { return time.Duration(s.GraceMS) * time.Millisecond }
