Writes and joins without an answer are repeated beside the first

Cause: an answer of the store that is lost was waited for 1.5 s.

Change: package hedge makes such a call again after four times the usual time, 60 ms at least, beside the first, up to three calls; the first answer counts. Appends may be made twice: the owner's carry a sequence number, submissions and cancels say the same. A refusal after a call without an answer is not passed on as one.

Tests: hedge (lost, late, refused and fenced answers; a store that is slow for long gets no more than a quarter more calls).

--- a/entry/owner/ask.go
+++ b/entry/owner/ask.go
@@ -8,6 +8,7 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/hedge"
 	"github.com/berylspar/spar/shard"
 	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
@@ -159,12 +160,19 @@
 
 // Submit stores a submission.
 func (o *Owner) Submit(ctx context.Context, j spar.Job) error {
-	_, err := o.store.Append(ctx, JobsTopic, nil, []spar.Record{{Key: JobPrefix + j.ID, Value: shard.EncodeJob(j)}})
-	return err
+	return o.write(ctx, JobsTopic, nil, []spar.Record{{Key: JobPrefix + j.ID, Value: shard.EncodeJob(j)}})
 }
 
 // Cancel stores a cancel.
 func (o *Owner) Cancel(ctx context.Context, id string) error {
-	_, err := o.store.Append(ctx, JobsTopic, nil, []spar.Record{{Key: CancelPrefix + id, Value: []byte{1}}})
+	return o.write(ctx, JobsTopic, nil, []spar.Record{{Key: CancelPrefix + id, Value: []byte{1}}})
+}
+
+// write appends to a topic. Records that are appended twice say the same, so a
+// late answer is not waited for.
+func (o *Owner) write(ctx context.Context, topic string, p *spar.Producer, records []spar.Record) error {
+	_, err := hedge.Do(ctx, &o.writes, func(ctx context.Context) (int64, error) {
+		return o.store.Append(ctx, topic, p, records)
+	})
 	return err
 }
--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -99,7 +99,7 @@
 	for _, id := range ids {
 		records = append(records, spar.Record{Key: JobPrefix + id}, spar.Record{Key: CancelPrefix + id})
 	}
-	if _, err := t.store.Append(ctx, JobsTopic, nil, records); err != nil {
+	if err := t.write(ctx, JobsTopic, nil, records); err != nil {
 		t.Warn("ended jobs not dropped", "jobs", len(ids), "err", err)
 	}
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -10,6 +10,7 @@
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/entry/config"
+	"github.com/berylspar/spar/hedge"
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,8 @@
 	// clock is steady time, which goes on while the instance is suspended.
 	clock func() time.Duration
 
+	writes, joins hedge.Caller
+
 	mu   sync.Mutex
 	term *term
 	// last is the epoch of the last term.
@@ -77,7 +80,8 @@
 	lost := false
 	for ctx.Err() == nil {
 		sent := o.clock()
-		m, err := o.store.Join(ctx, spar.Member{Group: group, Name: o.member, Topic: link.OwnerTopic, TTL: o.settings.ttl(), Generation: generation})
+		self := spar.Member{Group: group, Name: o.member, Topic: link.OwnerTopic, TTL: o.settings.ttl(), Generation: generation}
+		m, err := hedge.Do(ctx, &o.joins, func(ctx context.Context) (spar.Membership, error) { return o.store.Join(ctx, self) })
 		switch {
 		case err != nil:
 			if !lost {
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -193,10 +193,7 @@
 // append writes to a topic with the term's epoch, again until it is answered.
 func (t *term) append(ctx context.Context, topic string, seq int64, records []spar.Record) bool {
 	p := &spar.Producer{Name: producer, Epoch: t.epoch, Seq: seq}
-	err := t.persist(ctx, func() error {
-		_, err := t.store.Append(ctx, topic, p, records)
-		return err
-	})
+	err := t.persist(ctx, func() error { return t.write(ctx, topic, p, records) })
 	if err != nil {
 		t.fail(err)
 	}
--- /dev/null
+++ b/hedge/hedge_test.go
@@ -0,0 +1,92 @@
+package hedge_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/hedge"
+	"github.com/cockroachdb/errors"
+)
+
+// lost is the limit of a call whose answer never comes.
+const lost = 1500 * time.Millisecond
+
+// answers makes a call whose answers, in the order of the calls, take some time
+// and say something.
+func answers(rows ...answer) (func(context.Context) (int, error), *int) {
+	made := 0
+	return func(context.Context) (int, error) {
+		a := rows[min(made, len(rows)-1)]
+		made++
+		time.Sleep(a.after)
+		return made, a.err
+	}, &made
+}
+
+type answer struct {
+	after time.Duration
+	err   error
+}
+
+func TestDo(t *testing.T) {
+	unknown := errors.Mark(errors.New("no answer"), spar.ErrUnknown)
+	refused := errors.Mark(errors.New("busy"), spar.ErrRefused)
+	quick := 5 * time.Millisecond
+	for _, tt := range []struct {
+		name  string
+		rows  []answer
+		want  error
+		made  int
+		limit time.Duration
+	}{
+		{"one answer", []answer{{quick, nil}}, nil, 1, 10 * time.Millisecond},
+		{"an answer lost", []answer{{lost, unknown}, {quick, nil}}, nil, 2, 100 * time.Millisecond},
+		{"two answers lost", []answer{{lost, unknown}, {lost, unknown}, {quick, nil}}, nil, 3, 300 * time.Millisecond},
+		{"a late answer", []answer{{150 * time.Millisecond, nil}, {lost, unknown}}, nil, 2, 160 * time.Millisecond},
+		{"a refusal", []answer{{quick, refused}}, spar.ErrRefused, 1, 10 * time.Millisecond},
+		{"a refusal after a call that is not answered", []answer{{lost, unknown}, {quick, refused}, {quick, refused}}, spar.ErrUnknown, 3, 2 * time.Second},
+		{"fenced", []answer{{quick, spar.ErrFenced}}, spar.ErrFenced, 1, 10 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				call, made := answers(tt.rows...)
+				var c hedge.Caller
+				begun := time.Now()
+				_, err := hedge.Do(t.Context(), &c, call)
+				if took := time.Since(begun); took > tt.limit {
+					t.Errorf("took %s, want %s at most", took, tt.limit)
+				}
+				if !errors.Is(err, tt.want) {
+					t.Errorf("error %v, want %v", err, tt.want)
+				}
+				if errors.Is(tt.want, spar.ErrUnknown) && errors.Is(err, spar.ErrRefused) {
+					t.Error("a call that may have been carried out is called refused")
+				}
+				if *made != tt.made {
+					t.Errorf("%d calls, want %d", *made, tt.made)
+				}
+				time.Sleep(2 * lost)
+			})
+		})
+	}
+}
+
+// A store that is slow for a while is not asked twice for everything.
+func TestSlowAnswersAreWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		call, made := answers(answer{200 * time.Millisecond, nil})
+		var c hedge.Caller
+		for range 40 {
+			if _, err := hedge.Do(t.Context(), &c, call); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if *made > 50 {
+			t.Errorf("%d calls for 40 answers", *made)
+		}
+	})
+}
