--- a/clash/model.go
+++ b/clash/model.go
@@ -54,7 +54,7 @@
 	// maxCost bounds an estimate: a fifteenth of a worker is then too much.
 	maxCost = 15
 	// priorSlack and priorLoadSpread are taken of a job not seen yet.
-	priorSlack, priorLoadSpread = 2.1, 1
+	priorSlack, priorLoadSpread = 1.9, 1
 	// leastSlack and mostSlack bound what a load may be taken for.
 	leastSlack, mostSlack = 0.9, 4
 	// swing is the variance that a job's load gains in a second.
