Queues that need advice get tickets from the adviser

Cause: a queue with advice was accepted, its tasks were started without tickets and refused by the workers for ever.

A start carries its ticket; one that runs out or is refused is asked for anew, workers that may not run the step are not asked for again. Without an adviser in the settings such jobs are refused at the desk.

--- a/batch.go
+++ b/batch.go
@@ -69,6 +69,16 @@
 // String prints job.occurrence.step.index.
 func (t TaskRef) String() string { return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occur, t.Step, t.Index) }
 
+// StepRef names a step of a job's occurrence.
+type StepRef struct {
+	Job   string
+	Occur int
+	Step  int
+}
+
+// String prints job.occurrence.step.
+func (s StepRef) String() string { return fmt.Sprintf("%s.%d.%d", s.Job, s.Occur, s.Step) }
+
 // Life is one start of a worker: its name may come back after a restart, the
 // time of birth does not.
 type Life struct {
@@ -138,6 +148,8 @@
 	// Stretch times the longest chain of work, plus Slack, is the objective.
 	Stretch float64       `msgpack:"x,omitempty"`
 	Slack   time.Duration `msgpack:"k,omitempty"`
+	// Advised says that only the adviser knows which workers may run a step.
+	Advised bool `msgpack:"a,omitempty"`
 }
 
 // Rules are the operators' configuration in force.
--- a/entry/batch/app.go
+++ b/entry/batch/app.go
@@ -77,13 +77,14 @@
 		func(c common.Common, st spar.Store) *track.Owner {
 			return track.NewOwner(st, placeWait, func(err error) { c.Warn("owner's place not readable", "err", err) })
 		},
-		func(c common.Common, st spar.Store, w *config.Watch, l *listeners) *owner.Owner {
-			return owner.NewOwner(c, s.Owner, st, w, newMember(s.Name), link.Record{Agents: cmp.Or(s.ReachAgents, s.Agents), Peers: s.Admin}, l.agents, steady.Now)
+		func(c *platform.Client) spar.Adviser { return newAdviser(c, s.Adviser) },
+		func(c common.Common, st spar.Store, ad spar.Adviser, w *config.Watch, l *listeners) *owner.Owner {
+			return owner.NewOwner(c, s.Owner, st, ad, w, newMember(s.Name), link.Record{Agents: cmp.Or(s.ReachAgents, s.Agents), Peers: s.Admin}, l.agents, steady.Now)
 		},
 		owner.NewAsker,
 		func(o *owner.Owner, a *owner.Asker) desk.Jobs { return jobs{o, a} },
 		func() desk.Format {
-			return desk.Format{Job: platform.DecodeJob, State: platform.State, Waiting: platform.Waiting, PatienceHeader: platform.PatienceHeader}
+			return desk.Format{Job: platform.DecodeJob, State: platform.State, Waiting: platform.Waiting, PatienceHeader: platform.PatienceHeader, Advised: s.Adviser != ""}
 		},
 		desk.NewDesk,
 		func(p parts) *daemon { return &daemon{Common: p.Base.Common, parts: p} },
@@ -109,6 +110,14 @@
 	return config.Change(c), err
 }
 
+// newAdviser returns the adviser, or nil where none is set.
+func newAdviser(c *platform.Client, address string) spar.Adviser {
+	if address == "" {
+		return nil
+	}
+	return platform.NewAdviser(c, address)
+}
+
 // newMember returns a name that no other process has, nor a later life of this
 // one.
 func newMember(name string) string {
--- a/entry/batch/settings.go
+++ b/entry/batch/settings.go
@@ -26,6 +26,8 @@
 	ReachAgents string `json:"reach_agents" jsonschema:"description=address at which agents reach this entry (empty: the same as agents)"`
 	// Store is the address of the platform's store.
 	Store string `json:"store" jsonschema:"minLength=1,description=address of the platform's store"`
+	// Adviser is the address of the placement adviser.
+	Adviser string `json:"adviser" jsonschema:"description=address of the placement adviser (empty: jobs of queues that need advice are refused)"`
 	// GraceMS is how long callers are still served after a stop was ordered.
 	GraceMS int64 `json:"grace_ms" jsonschema:"minimum=0,maximum=60000,description=time that callers are still served after a stop was ordered in ms"`
 	// Owner are the times of the election and of leases.
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -30,6 +30,8 @@
 	Waiting func(n int) []byte
 	// PatienceHeader holds how many milliseconds a caller waits.
 	PatienceHeader string
+	// Advised says that there is an adviser for queues that need advice.
+	Advised bool
 }
 
 // Jobs is where jobs are stored and asked for.
@@ -172,6 +174,10 @@
 		c.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
+	if q.Advised && !d.format.Advised {
+		d.refuse(c, id, "queue needs advice and no adviser is set", nil)
+		return
+	}
 	j.Policy = q
 	d.store(ctx, c, id, "job accepted", q.Name, func() error { return d.jobs.Submit(ctx, j) })
 }
--- /dev/null
+++ b/entry/owner/advise.go
@@ -0,0 +1,26 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/berylspar/spar/shard"
+)
+
+// consult asks the adviser, and tells the shard what it says. It reports its end
+// by the answer, which the shard counts on for each question.
+func (t *term) consult(ctx context.Context, q shard.Question) {
+	asked := time.Now()
+	tickets, valid, err := t.adviser.Advise(ctx, q.Step, q.Workers)
+	if err != nil {
+		t.Warn("no advice", "step", q.Step, "workers", len(q.Workers), "took", time.Since(asked), "err", err)
+		t.Counter("advice_failed").Inc(1)
+	} else {
+		t.Info("advice", "step", q.Step, "workers", len(q.Workers), "good", len(tickets), "valid", valid, "took", time.Since(asked))
+	}
+	t.Timer("advice").Record(time.Since(asked))
+	t.coreMu.Lock()
+	t.core.Advise(q, tickets, asked.Add(valid), err == nil, time.Now())
+	t.coreMu.Unlock()
+	t.poke()
+}
--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -49,10 +49,14 @@
 // stored, if there is anything and the store is free.
 func (t *term) decide(free bool) *shard.Commit {
 	now := time.Now()
+	var questions []shard.Question
 	t.coreMu.Lock()
 	t.core.Tick(now, now)
 	if t.holds() && t.isFresh(now) {
 		t.core.Plan(now)
+		if t.adviser != nil {
+			questions = t.core.Questions(now)
+		}
 	}
 	for _, node := range t.core.Overdue(now) {
 		if s := t.sessions[node]; s != nil {
@@ -67,6 +71,9 @@
 		}
 	}
 	t.coreMu.Unlock()
+	for _, q := range questions {
+		go t.consult(t.ctx, q)
+	}
 	t.send(messages)
 	return next
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -33,7 +33,9 @@
 	common.Common
 	settings Settings
 	store    spar.Store
-	config   *config.Watch
+	// adviser is nil where no queue needs advice.
+	adviser spar.Adviser
+	config  *config.Watch
 	// member is unique to this process.
 	member string
 	// self is what the owner record will say.
@@ -50,9 +52,10 @@
 	last int64
 }
 
-// NewOwner returns a member of the election. Agents connect to the listener.
-func NewOwner(c common.Common, s Settings, st spar.Store, w *config.Watch, member string, self link.Record, agents net.Listener, clock func() time.Duration) *Owner {
-	return &Owner{Common: c, settings: s, store: st, config: w, member: member, self: self, agents: agents, clock: clock}
+// NewOwner returns a member of the election. Agents connect to the listener. The
+// adviser may be nil.
+func NewOwner(c common.Common, s Settings, st spar.Store, ad spar.Adviser, w *config.Watch, member string, self link.Record, agents net.Listener, clock func() time.Duration) *Owner {
+	return &Owner{Common: c, settings: s, store: st, adviser: ad, config: w, member: member, self: self, agents: agents, clock: clock}
 }
 
 // Run takes part until the context ends, then gives the shard up, so that the
--- a/prove/world/world_test.go
+++ b/prove/world/world_test.go
@@ -144,7 +144,7 @@
 	c := w.common(name)
 	watch := config.NewWatch(c, e.client, topic, w.decode)
 	clock := func() time.Duration { return time.Since(w.began) }
-	e.owner = owner.NewOwner(c, ownerSettings(), e.client, watch, name, link.Record{Agents: name, Peers: name}, w.net.listen(name), clock)
+	e.owner = owner.NewOwner(c, ownerSettings(), e.client, nil, watch, name, link.Record{Agents: name, Peers: name}, w.net.listen(name), clock)
 	e.cancel, e.ends = cancel, []<-chan error{watch.Run(ctx), e.owner.Run(ctx)}
 }
 
--- a/shard/core.go
+++ b/shard/core.go
@@ -38,7 +38,11 @@
 	paces  map[*run]bool
 	acks   map[*worker]int64
 	drops  []string
-	clash  clash.Model
+	// unadvised are steps that wait for advice, and asking counts the questions
+	// in flight.
+	unadvised []*step
+	asking    int
+	clash     clash.Model
 	// model is what was last stored of it, and learned when.
 	model   []byte
 	learned time.Time
--- a/shard/job.go
+++ b/shard/job.go
@@ -49,6 +49,8 @@
 	index int
 	tasks []*task
 	open  int
+	// advice is used in queues that need it.
+	advice advice
 }
 
 // task is a task of a step.
--- a/shard/pick.go
+++ b/shard/pick.go
@@ -72,7 +72,7 @@
 // accepts tells whether a worker may take a task.
 func (c *Core) accepts(w *candidate, t *task, now time.Time) bool {
 	s := t.step
-	return w.info.Service == s.job.policy.Service && w.fits(s) && w.allows(s) && (!s.Fills || !w.disturbed && !now.Before(w.noFills))
+	return w.info.Service == s.job.policy.Service && w.fits(s) && w.allows(s) && s.permits(w.worker, now) && (!s.Fills || !w.disturbed && !now.Before(w.noFills))
 }
 
 // leastPace is the slowest pace that a fill accepts.
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -20,8 +20,11 @@
 	}
 	slices.SortFunc(steps, func(a, b *step) int { return c.compare(a, b, now) })
 	pool := c.pool(now)
+	c.unadvised = nil
 	for _, s := range steps {
-		c.planStep(s, pool, now)
+		if !c.planStep(s, pool, now) && s.job.policy.Advised {
+			c.unadvised = append(c.unadvised, s)
+		}
 	}
 }
 
@@ -93,11 +96,10 @@
 }
 
 // planStep places the waiting tasks of a step until one finds no place; the
-// others are like it.
-func (c *Core) planStep(s *step, pool []*candidate, now time.Time) {
+// others are like it. It tells whether all have a place.
+func (c *Core) planStep(s *step, pool []*candidate, now time.Time) bool {
 	if s.Gang {
-		c.planGang(s, pool, now)
-		return
+		return c.planGang(s, pool, now)
 	}
 	for _, t := range s.tasks {
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
@@ -105,18 +107,20 @@
 		}
 		w, ok := c.pick(t, pool, now)
 		if !ok {
-			return
+			return false
 		}
 		c.claim(t, w, t.last+1, now)
 	}
+	return true
 }
 
-// planGang places all tasks of a gang, or none.
-func (c *Core) planGang(s *step, pool []*candidate, now time.Time) {
+// planGang places all tasks of a gang, or none. It tells false when there is no
+// place.
+func (c *Core) planGang(s *step, pool []*candidate, now time.Time) bool {
 	var last int64
 	for _, t := range s.tasks {
 		if len(t.runs) > 0 || now.Before(t.notBefore) {
-			return
+			return true
 		}
 		last = max(last, t.last)
 	}
@@ -129,12 +133,13 @@
 				w.release(s)
 				c.unclaim(s.tasks[i])
 			}
-			return
+			return false
 		}
 		t.saved = saved
 		c.claim(t, w, last+1, now)
 		claimed = append(claimed, w)
 	}
+	return true
 }
 
 // claim puts a run of a task on a worker.
--- a/shard/report.go
+++ b/shard/report.go
@@ -126,6 +126,8 @@
 	case spar.StartUnwell:
 		w.blame(now, 1.5)
 		t.shy = w.node
+	case spar.StartTicket:
+		t.step.revoke(w)
 	case spar.StartNoRoom:
 		w.asideUntil = now.Add(fullPause)
 	case spar.StartDraining:
--- a/worker.go
+++ b/worker.go
@@ -20,6 +20,15 @@
 	Hold(ctx context.Context, w Target, acked, until int64, wait time.Duration) (Listed, error)
 }
 
+// Adviser knows which workers may run a step of a queue that needs advice.
+// Errors are ErrRefused and ErrUnknown.
+type Adviser interface {
+	// Advise returns a ticket for each of the workers, by the names of their
+	// lives, that may run the step, and how long the tickets are good from the
+	// call on.
+	Advise(ctx context.Context, s StepRef, workers []string) (map[string]string, time.Duration, error)
+}
+
 // Target names the worker and carries the fencing token of a call.
 type Target struct {
 	Address string
