--- /dev/null
+++ b/prove/world/recovery_test.go
@@ -0,0 +1,147 @@
+package world_test
+
+import (
+	"context"
+	"io"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/berylspar/spar/stand/store"
+)
+
+// samples is how often each loss is played.
+const samples = 20
+
+// loss is something that happens to a deployment, and the longest that it may
+// take from there until a task starts.
+type loss struct {
+	name  string
+	limit time.Duration
+	// strike returns when what was lost is back.
+	strike func(ctx context.Context, w *world)
+}
+
+var losses = []loss{
+	// The time to live of 1 s, a join's interval, and as much again.
+	{"owner killed", 2 * time.Second, func(_ context.Context, w *world) { w.killEntry(w.ownerNow()) }},
+	// The next owner begins with its next join.
+	{"owner stopped by plan", time.Second, func(_ context.Context, w *world) { w.stopEntry(w.ownerNow()) }},
+	{"store back after 10 s", time.Second, func(ctx context.Context, w *world) {
+		for _, e := range w.entries {
+			e.client.SetFaults(store.Faults{Refuse: true})
+		}
+		wait(ctx, 10*time.Second)
+		for _, e := range w.entries {
+			e.client.SetFaults(store.Faults{})
+		}
+	}},
+	// Heartbeats come each half second, and workers hold nothing.
+	{"everything off for 3 s", 3 * time.Second, func(ctx context.Context, w *world) {
+		for _, e := range w.entries {
+			w.killEntry(e)
+		}
+		for _, n := range w.nodes {
+			w.stopNode(n)
+			n.worker.Crash()
+		}
+		wait(ctx, 3*time.Second)
+		for _, n := range w.nodes {
+			w.startNode(n)
+			w.restartWorker(n, "i-"+n.name+"-again")
+		}
+		for _, e := range w.entries {
+			w.startEntry(e)
+		}
+	}},
+}
+
+// The time from a loss until the next start, on twenty seeds each; -v prints the
+// median and the longest.
+func TestRecoveryTimes(t *testing.T) {
+	for _, l := range losses {
+		t.Run(l.name, func(t *testing.T) {
+			var took []time.Duration
+			for seed := range uint64(samples) {
+				synctest.Test(t, func(t *testing.T) { took = append(took, sample(t, seed+1, l)) })
+			}
+			slices.Sort(took)
+			t.Logf("%s: median %s, longest %s of %d", l.name, took[len(took)/2].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond), len(took))
+			if longest := took[len(took)-1]; longest > l.limit {
+				t.Errorf("longest %s, want %s at most", longest, l.limit)
+			}
+		})
+	}
+}
+
+// sample plays a loss once.
+func sample(t *testing.T, seed uint64, l loss) time.Duration {
+	ctx, cancel := context.WithCancel(t.Context())
+	w := newWorld(ctx, t, seed, 3, 5, io.Discard)
+	w.even = true
+	ticks := make(chan struct{})
+	go w.tick(ticks)
+	defer w.close(cancel, ticks)
+	wait(ctx, 3*time.Second+time.Duration(w.random.IntN(1000))*time.Millisecond)
+	w.submit(w.entries[0])
+	wait(ctx, 500*time.Millisecond)
+	l.strike(ctx, w)
+	before, begun := w.record.Starts(), time.Now()
+	for _, e := range w.entries {
+		if e.cancel != nil {
+			w.submit(e)
+		}
+	}
+	for w.record.Starts() == before {
+		if time.Since(begun) > time.Minute {
+			t.Fatalf("seed %d: no start within a minute", seed)
+		}
+		wait(ctx, 5*time.Millisecond)
+	}
+	took := time.Since(begun)
+	w.expectSound()
+	return took
+}
+
+// The work of an agent that is cut off for good goes on elsewhere when its
+// leases have ended: 5 s from the last grant, and the worker's clock may be slow.
+func TestWorkOfALostAgentGoesOn(t *testing.T) {
+	const limit = 5*time.Second + 150*time.Millisecond + 2*time.Second
+	var took []time.Duration
+	for seed := range uint64(samples) {
+		synctest.Test(t, func(t *testing.T) { took = append(took, loseAgent(t, seed+1)) })
+	}
+	slices.Sort(took)
+	t.Logf("median %s, longest %s of %d", took[len(took)/2].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond), len(took))
+	if longest := took[len(took)-1]; longest > limit {
+		t.Errorf("longest %s, want %s at most", longest, limit)
+	}
+}
+
+// loseAgent cuts an agent off while its worker works, and returns the time until
+// all jobs have ended.
+func loseAgent(t *testing.T, seed uint64) time.Duration {
+	ctx, cancel := context.WithCancel(t.Context())
+	w := newWorld(ctx, t, seed, 3, 5, io.Discard)
+	w.even = true
+	ticks := make(chan struct{})
+	go w.tick(ticks)
+	defer w.close(cancel, ticks)
+	wait(ctx, 3*time.Second+time.Duration(w.random.IntN(1000))*time.Millisecond)
+	for range 5 {
+		w.submit(w.entries[0])
+	}
+	wait(ctx, 300*time.Millisecond)
+	w.net.setCut(w.nodes[0].name, true)
+	begun := time.Now()
+	for len(w.open()) > 0 {
+		if time.Since(begun) > time.Minute {
+			t.Fatalf("seed %d: not ended within a minute: %v", seed, w.open())
+		}
+		wait(ctx, 20*time.Millisecond)
+	}
+	took := time.Since(begun)
+	w.expectSound()
+	return took
+}
