An owner whose term lapsed begins anew when the group has changed

Cause: an owner that could not renew keeps its term for a while, so that leases go on. When its next join succeeds and the partition is its own again after another entry had it, the term was extended with the state of before: callers were told old states until the next append was fenced. No order could follow, since claims are stored first.

Change: a join that was sent after the term had lapsed and finds a newer generation ends the term and begins another, which reads the stored state.

Test: prove/world TestOwnerAgainAfterAnotherReadsAnew; failed before ("which has been told to be completed, is running").

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -98,14 +98,16 @@
 				o.Info("group reached again", "generation", m.Generation)
 			}
 			generation = m.Generation
-			o.follow(ctx, m, sent+o.settings.ttl()-termMargin)
+			o.follow(ctx, m, sent)
 		}
 		track.Pause(ctx, o.settings.join()-min(o.clock()-sent, o.settings.join()*3/4))
 	}
 }
 
-// follow begins, extends or ends the term by what the group says.
-func (o *Owner) follow(ctx context.Context, m spar.Membership, until time.Duration) {
+// follow begins, extends or ends the term by what the group says to a join that
+// was sent at a time.
+func (o *Owner) follow(ctx context.Context, m spar.Membership, sent time.Duration) {
+	until := sent + o.settings.ttl() - termMargin
 	holds := slices.Contains(m.Parts, o.settings.seat())
 	t := o.current()
 	switch {
@@ -116,7 +118,12 @@
 	case holds && t.failed():
 		o.end("fenced")
 		o.begin(ctx, m.Generation, until)
+	case holds && sent > t.until() && m.Generation != t.generation:
+		// Another may have owned the shard in between.
+		o.end("lapsed")
+		o.begin(ctx, m.Generation, until)
 	case holds:
+		t.generation = m.Generation
 		t.extend(until)
 	}
 }
@@ -130,6 +137,7 @@
 	epoch := max(generation<<termBits, o.last+1)
 	o.last = epoch
 	t := newTerm(o, epoch, until)
+	t.generation = generation
 	o.mu.Lock()
 	o.term = t
 	o.mu.Unlock()
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -43,6 +43,8 @@
 type term struct {
 	*Owner
 	epoch int64
+	// generation is the group's at the last join; only the election uses it.
+	generation int64
 	// expiry is when the term ends, as steady time.
 	expiry atomic.Int64
 	broken atomic.Bool
