An entry that the store does not answer stores jobs by another entry

Change: entries announce themselves on the owners' topic. A submission or a cancel whose append is not answered within the usual time is sent to another entry beside it, which stores it; the first answer counts, and a refusal is passed on only where nothing else was tried. Submit and Cancel are the asker's now.

--- a/entry/batch/app.go
+++ b/entry/batch/app.go
@@ -82,7 +82,7 @@
 			return owner.NewOwner(c, s.Owner, st, ad, w, newMember(s.Name), link.Record{Agents: cmp.Or(s.ReachAgents, s.Agents), Peers: s.Admin}, l.agents, steady.Now)
 		},
 		owner.NewAsker,
-		func(o *owner.Owner, a *owner.Asker) desk.Jobs { return jobs{o, a} },
+		func(a *owner.Asker) desk.Jobs { return a },
 		func() desk.Format {
 			return desk.Format{Job: platform.DecodeJob, State: platform.State, Waiting: platform.Waiting, PatienceHeader: platform.PatienceHeader, Advised: s.Adviser != ""}
 		},
@@ -99,12 +99,6 @@
 	return dig.RootCause(err)
 }
 
-// jobs joins what stores jobs and what answers questions about them.
-type jobs struct {
-	*owner.Owner
-	*owner.Asker
-}
-
 func decodeChange(r spar.Record) (config.Change, error) {
 	c, err := platform.DecodeChange(r)
 	return config.Change(c), err
--- a/entry/owner/ask.go
+++ b/entry/owner/ask.go
@@ -6,7 +6,6 @@
 	"net"
 	"time"
 
-	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/hedge"
 	"github.com/berylspar/spar/shard"
@@ -35,6 +34,7 @@
 	owner  *Owner
 	place  *track.Owner
 	client *fasthttp.Client
+	writes hedge.Caller
 }
 
 // NewAsker returns an asker beside a member of the election.
@@ -131,6 +131,7 @@
 	r.GET("/jobs/{id}", func(c *fasthttp.RequestCtx) {
 		o.answer(c, func(t *term) (reply, error) { return t.stateOf(c.UserValue("id").(string)) })
 	})
+	r.POST("/records", o.takeRecord)
 	r.GET("/queues/{name}", func(c *fasthttp.RequestCtx) {
 		o.answer(c, func(t *term) (reply, error) { return t.waitingIn(c.UserValue("name").(string)) })
 	})
@@ -155,24 +156,3 @@
 	c.SetContentType("application/json")
 	c.SetBody(body)
 }
-
-// Submit and Cancel go by the store, so that they work while no owner is there.
-
-// Submit stores a submission.
-func (o *Owner) Submit(ctx context.Context, j spar.Job) error {
-	return o.write(ctx, JobsTopic, nil, []spar.Record{{Key: JobPrefix + j.ID, Value: shard.EncodeJob(j)}})
-}
-
-// Cancel stores a cancel.
-func (o *Owner) Cancel(ctx context.Context, id string) error {
-	return o.write(ctx, JobsTopic, nil, []spar.Record{{Key: CancelPrefix + id, Value: []byte{1}}})
-}
-
-// write appends to a topic. Records that are appended twice say the same, so a
-// late answer is not waited for.
-func (o *Owner) write(ctx context.Context, topic string, p *spar.Producer, records []spar.Record) error {
-	_, err := hedge.Do(ctx, &o.writes, func(ctx context.Context) (int64, error) {
-		return o.store.Append(ctx, topic, p, records)
-	})
-	return err
-}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -45,6 +45,8 @@
 	clock func() time.Duration
 
 	writes, joins hedge.Caller
+	// announced says that other entries can find this one.
+	announced bool
 
 	mu   sync.Mutex
 	term *term
@@ -68,6 +70,7 @@
 		o.end("stopped")
 		leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 		defer cancel()
+		o.withdraw(leave)
 		err := o.store.Leave(leave, group, o.member)
 		if err != nil {
 			o.Warn("group not left", "err", err)
@@ -84,7 +87,7 @@
 	for ctx.Err() == nil {
 		sent := o.clock()
 		self := spar.Member{Group: group, Name: o.member, Topic: link.OwnerTopic, TTL: o.settings.ttl(), Generation: generation}
-		m, err := hedge.Do(ctx, &o.joins, func(ctx context.Context) (spar.Membership, error) { return o.store.Join(ctx, self) })
+		m, err := hedge.Do(ctx, &o.joins, func(ctx context.Context, _ int) (spar.Membership, error) { return o.store.Join(ctx, self) })
 		switch {
 		case err != nil:
 			if !lost {
@@ -93,6 +96,7 @@
 			}
 			o.expire()
 		default:
+			o.announce(ctx)
 			if lost {
 				lost = false
 				o.Info("group reached again", "generation", m.Generation)
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -50,19 +50,19 @@
 	took  time.Duration
 }
 
-// Do makes a call, and makes it again while its answer is late. It returns the
+// Do makes a call, and makes it again while its answer is late; try counts from 0. It returns the
 // first answer that says what was done. An error that is spar.ErrRefused is one
 // of the only call that was made: where others may have been carried out, a
 // refusal is spar.ErrUnknown. The goroutines of calls that are left behind end
 // with the calls, which have deadlines of their own.
-func Do[T any](ctx context.Context, c *Caller, call func(context.Context) (T, error)) (T, error) {
+func Do[T any](ctx context.Context, c *Caller, call func(ctx context.Context, try int) (T, error)) (T, error) {
 	done := make(chan outcome[T], tries)
-	launch := func() {
+	launch := func(try int) {
 		begun := time.Now()
-		v, err := call(ctx)
+		v, err := call(ctx, try)
 		done <- outcome[T]{v, err, time.Since(begun)}
 	}
-	go launch()
+	go launch(0)
 	made, open, wait := 1, 1, c.wait()
 	late := time.NewTimer(wait)
 	defer late.Stop()
@@ -73,8 +73,8 @@
 			return none, errors.Mark(errors.Wrap(ctx.Err(), "no answer"), spar.ErrUnknown)
 		case <-late.C:
 			if made < tries {
+				go launch(made)
 				made, open = made+1, open+1
-				go launch()
 				wait *= 2
 				late.Reset(wait)
 			}
--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -16,9 +16,9 @@
 
 // answers makes a call whose answers, in the order of the calls, take some time
 // and say something.
-func answers(rows ...answer) (func(context.Context) (int, error), *int) {
+func answers(rows ...answer) (func(context.Context, int) (int, error), *int) {
 	made := 0
-	return func(context.Context) (int, error) {
+	return func(context.Context, int) (int, error) {
 		a := rows[min(made, len(rows)-1)]
 		made++
 		time.Sleep(a.after)
--- a/link/record.go
+++ b/link/record.go
@@ -5,10 +5,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// The topic and the key under which an owner tells where it is.
+// The topic and the keys under which an owner and all entries tell where they
+// are.
 const (
 	OwnerTopic = "owner"
 	OwnerKey   = "owner"
+	// EntryPrefix begins the keys under which entries tell where they are.
+	EntryPrefix = "entry/"
 )
 
 // Record tells where the owner of the shard is.
--- a/prove/world/world_test.go
+++ b/prove/world/world_test.go
@@ -20,6 +20,7 @@
 	"github.com/berylspar/spar/shard"
 	"github.com/berylspar/spar/stand/labor"
 	"github.com/berylspar/spar/stand/store"
+	"github.com/berylspar/spar/track"
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -60,6 +61,7 @@
 	name   string
 	client *store.Client
 	owner  *owner.Owner
+	asker  *owner.Asker
 	cancel context.CancelFunc
 	ends   []<-chan error
 	life   int
@@ -145,6 +147,7 @@
 	watch := config.NewWatch(c, e.client, topic, w.decode)
 	clock := func() time.Duration { return time.Since(w.began) }
 	e.owner = owner.NewOwner(c, ownerSettings(), e.client, nil, watch, name, link.Record{Agents: name, Peers: name}, w.net.listen(name), clock)
+	e.asker = owner.NewAsker(c, e.owner, track.NewOwner(e.client, time.Second, func(error) {}))
 	e.cancel, e.ends = cancel, []<-chan error{watch.Run(ctx), e.owner.Run(ctx)}
 }
 
@@ -267,7 +270,7 @@
 	w.mu.Lock()
 	w.jobs[id] = j
 	w.mu.Unlock()
-	go w.persist(e, func(ctx context.Context) error { return e.owner.Submit(ctx, j.Job) })
+	go w.persist(e, func(ctx context.Context) error { return e.asker.Submit(ctx, j.Job) })
 }
 
 // persist repeats a write until it is answered, the way callers do.
@@ -286,7 +289,7 @@
 	for id, j := range w.jobs {
 		if j.cancelled.IsZero() {
 			go w.persist(e, func(ctx context.Context) error {
-				err := e.owner.Cancel(ctx, id)
+				err := e.asker.Cancel(ctx, id)
 				if err == nil {
 					w.mu.Lock()
 					j.cancelled = time.Now()
--- a/track/owner.go
+++ b/track/owner.go
@@ -1,6 +1,10 @@
 package track
 
 import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +17,10 @@
 	*Topic
 	last    atomic.Pointer[link.Record]
 	changed chan struct{}
+
+	mu sync.Mutex
+	// entries are the addresses at which entries answer each other, by key.
+	entries map[string]string
 }
 
 // NewOwner returns a follower that waits up to wait in each read. Errors go to
@@ -29,8 +37,37 @@
 // Changed is signalled after each change.
 func (o *Owner) Changed() <-chan struct{} { return o.changed }
 
+// Entries returns the addresses at which entries answer each other; some may be
+// gone.
+func (o *Owner) Entries() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Sorted(maps.Values(o.entries))
+}
+
+func (o *Owner) applyEntry(r spar.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(r.Value) == 0 {
+		delete(o.entries, r.Key)
+		return
+	}
+	rec, err := link.DecodeRecord(r.Value)
+	if err != nil {
+		o.Failed(err)
+		return
+	}
+	if o.entries == nil {
+		o.entries = map[string]string{}
+	}
+	o.entries[r.Key] = rec.Peers
+}
+
 func (o *Owner) apply(records []spar.Record) {
 	for _, r := range records {
+		if strings.HasPrefix(r.Key, link.EntryPrefix) {
+			o.applyEntry(r)
+		}
 		if r.Key != link.OwnerKey {
 			continue
 		}
