Late fills start beside any load, 5 s after their objective

Cause: found by reading. Past its objective a fill accepts a tenth of its pace, but where the serving tasks' load leaves hardly any slack not even that was found, and it waited for ever beside free room. A slowed fill could be held at pace 0 alike.

Change: 5 s past its objective a fill starts at the slowest pace and is not slowed further; a serving task that is over its target for long still has all fills taken away.

Test: TestLateFillStartsBesideAHighLoad; failed before (0 starts within 12 s).

--- a/clash/model.go
+++ b/clash/model.go
@@ -4,10 +4,7 @@
 // and knows no workers.
 package clash
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Share is the part of a worker's processors that an image's fills use, 0 to 1.
 type Share struct {
@@ -117,7 +114,8 @@
 	if seen < fullSlack && miss > 0 {
 		return
 	}
-	total := baseNoise + math.Pow(relativeNoise*seen, 2) + l.spread
+	rough := relativeNoise * seen
+	total := baseNoise + rough*rough + l.spread
 	for _, f := range fills {
 		total += m.weight(s.Image, f.Image).spread * f.Part * f.Part
 	}
--- a/shard/colo.go
+++ b/shard/colo.go
@@ -18,9 +18,6 @@
 	// taken away that the model does not expect to disturb: two figures in a
 	// row. Those that it does expect to are taken away at the first.
 	patience = 350 * time.Millisecond
-	// slowTime is how long a tail may be over its target without any fill until
-	// the worker is taken to be slow by itself; a load's peak is shorter.
-	slowTime = 4 * time.Second
 	// settleTime is how long after that the tails are given to settle.
 	settleTime = 1200 * time.Millisecond
 	// harmLimit is how long a tail may be over its target before all fills are
@@ -28,6 +25,9 @@
 	harmLimit = 1900 * time.Millisecond
 	// banTime is how long a worker gets no fills after that.
 	banTime = 2 * time.Second
+	// slowTime is how long a tail may be over its target without any fill until
+	// the worker is taken to be slow by itself; a load's peak is shorter.
+	slowTime = 4 * time.Second
 	// goalSlack is the slack that fills leave to serving tasks when they are
 	// placed; figures that are rough and loads that rise take the rest.
 	goalSlack = 1.1
@@ -37,8 +37,11 @@
 	// leastRoom keeps pressures finite where a load leaves no slack.
 	leastRoom = 0.1
 	// leastPace and latePace are the slowest paces, in percent, at which fills
-	// are placed; those past their objective accept a slower one.
+	// are placed: those past their objective must not wait for ever.
 	leastPace, latePace = 100, 10
+	// lateWait is how long after its objective a fill still waits for a worker
+	// that has slack.
+	lateWait = 5 * time.Second
 	// paceStep is the least change of a pace, in percent.
 	paceStep = 20
 	// nearlyDone is the percentage from which a fill is left to finish.
@@ -93,17 +96,6 @@
 	}
 }
 
-// serving is what a serving task is known by to the model.
-func (r *run) serving() clash.Serving {
-	return clash.Serving{Job: r.task.step.job.ID, Image: r.task.step.Image}
-}
-
-// slackOf is the slack that a serving task should have beside some fills.
-func (c *Core) slackOf(r *run, fills []clash.Share) float64 {
-	now, _ := c.clash.Slack(r.serving())
-	return now - c.clash.Costs(r.task.step.Image, fills)
-}
-
 // ease slows the fills beside serving tasks that are close to their targets.
 func (c *Core) ease(tight []*run) {
 	for _, r := range tight {
@@ -125,8 +117,11 @@
 	if own <= 0 || f.percent >= nearlyDone {
 		return 0
 	}
-	old := f.pace
-	c.setPace(f, int(float64(old)*(own-gain)/own)/10*10)
+	old, least := f.pace, 0
+	if f.task.step.late(c.now.Add(-lateWait)) {
+		least = latePace
+	}
+	c.setPace(f, max(int(float64(old)*(own-gain)/own)/10*10, min(old, least)))
 	return own * float64(old-f.pace) / float64(max(old, 1))
 }
 
@@ -275,55 +270,3 @@
 	c.setPace(r, 0)
 	c.stop(r)
 }
-
-// cost is the slack that a fill takes from a serving task beside it.
-func (c *Core) cost(r, f *run) float64 {
-	asked := f.task.step.Size.CPUMilli * int64(f.pace) / 100
-	return c.clash.Cost(r.task.step.Image, clash.Share{Image: f.task.step.Image, Part: f.worker.part(max(f.figure, asked/2))})
-}
-
-// part is what some processors are of a worker's.
-func (w *worker) part(milli int64) float64 {
-	return float64(milli) / float64(max(w.info.Size.CPUMilli, 1))
-}
-
-// room is the slack that fills may take from a serving job's tasks: between what
-// there is now and what is left at the highest load.
-func (c *Core) room(s clash.Serving) float64 {
-	now, low := c.clash.Slack(s)
-	return max((now+low)/2-goalSlack, leastRoom)
-}
-
-// taken is the slack that the fills booked on a worker take from an image.
-func (c *Core) taken(w *candidate, image string) float64 {
-	var sum float64
-	for f, milli := range w.fills {
-		sum += c.clash.Cost(image, clash.Share{Image: f, Part: w.part(milli)})
-	}
-	return sum
-}
-
-// paceWith is the pace, in percent, at which a fill of a step can work beside
-// what is booked on a worker and leave the serving tasks their slack.
-func (c *Core) paceWith(w *candidate, s *step) int {
-	pace := 1.0
-	for serving := range w.servings {
-		own := c.clash.Cost(serving.Image, clash.Share{Image: s.Image, Part: w.part(s.Size.CPUMilli)})
-		if own > 0 {
-			pace = min(pace, (c.room(serving)-c.taken(w, serving.Image))/own)
-		}
-	}
-	return max(int(pace*10), 0) * 10
-}
-
-// pressureWith is the highest pressure on a serving task of a worker, as the
-// part of its room that is taken, if a fill of a step comes to those that are
-// booked there at a pace.
-func (c *Core) pressureWith(w *candidate, s *step, pace int) float64 {
-	var most float64
-	for serving := range w.servings {
-		own := c.clash.Cost(serving.Image, clash.Share{Image: s.Image, Part: w.part(s.Size.CPUMilli * int64(pace) / 100)})
-		most = max(most, (own+c.taken(w, serving.Image))/c.room(serving))
-	}
-	return most
-}
--- a/shard/colo_test.go
+++ b/shard/colo_test.go
@@ -101,6 +101,29 @@
 	}
 }
 
+// The same beside a load that leaves hardly any slack: past its objective a fill
+// starts at the slowest pace.
+func TestLateFillStartsBesideAHighLoad(t *testing.T) {
+	w := newWorld(t)
+	w.worker("n1")
+	w.submit("s", "watches", serve("desk"))
+	s := w.expectStarts(w.turn(), 1)[0]
+	w.submit("f", "plans", fill("audit", 1))
+	f := w.expectStarts(w.turn(), 1)[0]
+	w.learn("n1", s, f)
+	w.turn()
+	w.report("n1", ended(1, f, spar.EndStopped))
+	n := 0
+	for range 24 {
+		w.pass(500 * time.Millisecond)
+		w.tails("n1", s, 16)
+		n += len(starts(w.turn()))
+	}
+	if n != 1 {
+		t.Fatalf("%d starts within 12 s, want 1", n)
+	}
+}
+
 // Whatever is believed of the images, no fill works beside a task that has been
 // over its target for long.
 func TestAllFillsLeaveATaskLongOverItsTarget(t *testing.T) {
--- a/shard/pick.go
+++ b/shard/pick.go
@@ -56,8 +56,7 @@
 		}
 		pace, v := 100, w.value(t)
 		if t.step.Fills {
-			pace = c.paceWith(w, t.step)
-			if pace < t.leastPace(now) {
+			if pace = c.startPace(w, t.step, now); pace == 0 {
 				continue
 			}
 			v -= pressureCost*c.pressureWith(w, t.step, pace) + slowCost*float64(100-pace)/100
@@ -75,12 +74,18 @@
 	return w.info.Service == s.job.policy.Service && w.fits(s) && w.allows(s) && s.permits(w.worker, now) && (!s.Fills || !w.disturbed && !now.Before(w.noFills))
 }
 
-// leastPace is the slowest pace that a fill accepts.
-func (t *task) leastPace(now time.Time) int {
-	if t.step.late(now) {
-		return latePace
+// startPace is the pace, in percent, at which a fill of a step may start on a
+// worker, or 0 where it has to wait. Past its objective it accepts a slow one, and
+// after a while more it waits for nothing.
+func (c *Core) startPace(w *candidate, s *step, now time.Time) int {
+	pace := c.paceWith(w, s)
+	switch {
+	case s.late(now.Add(-lateWait)):
+		return max(pace, latePace)
+	case s.late(now) && pace >= latePace, pace >= leastPace:
+		return pace
 	}
-	return leastPace
+	return 0
 }
 
 // fits tells whether the worker has room for a task of a step.
