One account of what is booked, one way to lighten a worker, one call to a peer

Found by reading the change. Adding up a worker's runs and booking a place were the same sums twice; easing and relieving were the same loop twice, with and without workers to move to; asking and relaying made the same HTTP call twice. The order of steps worked out lateness and the work left at each comparison, and the longest chain each time; both are worked out once a step, the chain once an occurrence.

--- a/entry/owner/ask.go
+++ b/entry/owner/ask.go
@@ -106,24 +106,40 @@
 	if at == nil || at.Peers == a.owner.self.Peers {
 		return reply{}, errors.Wrap(ErrAway, "no owner is known")
 	}
-	limit := askLimit
-	if d, ok := ctx.Deadline(); ok {
-		limit = min(limit, time.Until(d))
+	code, body, err := a.call(fasthttp.MethodGet, at.Peers, path, nil, within(ctx, askLimit))
+	switch {
+	case err != nil:
+		return reply{}, errors.Mark(err, ErrAway)
+	case code != fasthttp.StatusOK:
+		return reply{}, errors.Wrapf(ErrAway, "owner at %s answers %d", at.Peers, code)
 	}
+	var r reply
+	err = json.Unmarshal(body, &r)
+	return r, errors.Wrapf(err, "owner at %s", at.Peers)
+}
+
+// call makes a call to another entry. Without an answer its idle connections are
+// given up, since they may have gone silent together.
+func (a *Asker) call(method, peer, path string, body []byte, limit time.Duration) (int, []byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + at.Peers + path)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + peer + path)
+	req.SetBodyRaw(body)
 	if err := a.client.DoTimeout(req, resp, limit); err != nil {
 		a.client.CloseIdleConnections()
-		return reply{}, errors.Mark(errors.Wrapf(err, "owner at %s", at.Peers), ErrAway)
+		return 0, nil, errors.Wrapf(err, "entry at %s", peer)
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return reply{}, errors.Wrapf(ErrAway, "owner at %s answers %d", at.Peers, resp.StatusCode())
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+}
+
+// within is a limit, or what is left of the context's time where that is less.
+func within(ctx context.Context, limit time.Duration) time.Duration {
+	if d, ok := ctx.Deadline(); ok {
+		return min(limit, time.Until(d))
 	}
-	var r reply
-	err := json.Unmarshal(resp.Body(), &r)
-	return r, errors.Wrapf(err, "owner at %s", at.Peers)
+	return limit
 }
 
 // Routes adds the routes of other entries' questions.
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -62,21 +62,11 @@
 
 // relay has another entry store a record.
 func (a *Asker) relay(ctx context.Context, peer string, r spar.Record) error {
-	limit := takeLimit
-	if d, ok := ctx.Deadline(); ok {
-		limit = min(limit, time.Until(d))
-	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + peer + "/records?key=" + url.QueryEscape(r.Key))
-	req.SetBodyRaw(r.Value)
-	if err := a.client.DoTimeout(req, resp, limit); err != nil {
-		a.client.CloseIdleConnections()
-		return errors.Mark(errors.Wrapf(err, "entry at %s", peer), spar.ErrUnknown)
+	code, _, err := a.call(fasthttp.MethodPost, peer, "/records?key="+url.QueryEscape(r.Key), r.Value, within(ctx, takeLimit))
+	if err != nil {
+		return errors.Mark(err, spar.ErrUnknown)
 	}
-	switch resp.StatusCode() {
+	switch code {
 	case fasthttp.StatusOK:
 		a.Info("stored by another entry", "key", r.Key, "entry", peer)
 		a.Counter("relayed").Inc(1)
@@ -84,7 +74,7 @@
 	case fasthttp.StatusServiceUnavailable:
 		return errors.Mark(errors.Newf("entry at %s could not store", peer), spar.ErrRefused)
 	}
-	return errors.Mark(errors.Newf("entry at %s answers %d", peer, resp.StatusCode()), spar.ErrUnknown)
+	return errors.Mark(errors.Newf("entry at %s answers %d", peer, code), spar.ErrUnknown)
 }
 
 // takeRecord stores a submission or a cancel for another entry.
--- a/shard/colo.go
+++ b/shard/colo.go
@@ -71,7 +71,7 @@
 		}
 		level := float64(r.figure) / float64(s.TailTarget.Milliseconds())
 		expected = expected || level > 1 && c.slackOf(r, fills) < 1
-		c.clash.Observe(r.serving(), fills, level, now)
+		c.clash.Observe(s.serving(), fills, level, now)
 		if c.slackOf(r, fills) < tightSlack {
 			tight = append(tight, r)
 		}
@@ -92,21 +92,32 @@
 	case (worst >= patience || worst >= 0 && expected) && now.After(w.settled):
 		c.relieve(w, now)
 	default:
-		c.ease(tight)
+		c.ease(tight, now)
 	}
 }
 
 // ease slows the fills beside serving tasks that are close to their targets.
-func (c *Core) ease(tight []*run) {
+func (c *Core) ease(tight []*run, now time.Time) {
 	for _, r := range tight {
-		slack, _ := c.clash.Slack(r.serving())
-		fills, sum := c.pressing(r)
-		for _, f := range fills {
-			if slack-sum >= goalSlack {
-				break
-			}
-			sum -= c.slow(r, f, goalSlack-(slack-sum))
+		c.lighten(r, nil, now)
+	}
+}
+
+// lighten gives a serving task its slack back: the fills that cost it most go to
+// a worker of the pool that will have them, and are slowed down otherwise.
+func (c *Core) lighten(r *run, pool []*candidate, now time.Time) {
+	slack := c.slack(r)
+	fills, sum := c.pressing(r)
+	for _, f := range fills {
+		if slack-sum >= goalSlack {
+			break
 		}
+		if f.percent < nearlyDone && c.elsewhere(f, pool, now) {
+			sum -= c.cost(r, f)
+			c.evict(f, "disturbs "+r.task.step.Image, now)
+			continue
+		}
+		sum -= c.slow(r, f, goalSlack-(slack-sum))
 	}
 }
 
@@ -171,28 +182,14 @@
 	return true
 }
 
-// relieve takes weight off the serving tasks over their targets: the fills that
-// press most go to another worker where one will have them, and are slowed
-// down otherwise, until the rest presses little.
+// relieve takes weight off the serving tasks over their targets.
 func (c *Core) relieve(w *worker, now time.Time) {
 	pool := c.pool(now)
 	for r := range w.runs {
 		if r.over.IsZero() {
 			continue
 		}
-		slack, _ := c.clash.Slack(r.serving())
-		fills, sum := c.pressing(r)
-		for _, f := range fills {
-			if slack-sum >= goalSlack {
-				break
-			}
-			if f.percent < nearlyDone && c.elsewhere(f, pool, now) {
-				sum -= c.cost(r, f)
-				c.evict(f, "disturbs "+r.task.step.Image, now)
-				continue
-			}
-			sum -= c.slow(r, f, goalSlack-(slack-sum))
-		}
+		c.lighten(r, pool, now)
 	}
 	w.settled = now.Add(settleTime)
 }
@@ -243,7 +240,7 @@
 			continue
 		}
 		o := &candidate{worker: w, usage: w.usage(now)}
-		o.fills[f.task.step.Image] -= f.task.step.Size.CPUMilli * int64(f.pace) / 100
+		o.fills[f.task.step.Image] -= f.task.step.milli(f.pace)
 		if p := c.paceWith(o, f.task.step); p >= f.pace+paceStep || p >= 100 {
 			c.setPace(f, p)
 		}
--- a/shard/job.go
+++ b/shard/job.go
@@ -39,6 +39,8 @@
 	number int
 	steps  []*step
 	due    time.Time
+	// longest is the longest chain of declared work through the steps.
+	longest time.Duration
 }
 
 // step is a step of an occurrence.
@@ -107,6 +109,7 @@
 		}
 		o.steps = append(o.steps, p)
 	}
+	o.longest = o.chain()
 	j.occurs = append(j.occurs, o)
 	return o
 }
--- a/shard/pick.go
+++ b/shard/pick.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/berylspar/spar/clash"
 )
 
 // candidate is a worker that may take tasks in this pass.
@@ -137,23 +135,7 @@
 }
 
 // take books a task of a step.
-func (w place) take(s *step) { w.book(s, 1) }
+func (w place) take(s *step) { w.book(s, w.pace, 1) }
 
 // release takes a booking back.
-func (w place) release(s *step) { w.book(s, -1) }
-
-func (w place) book(s *step, n int64) {
-	w.reserved.MemoryMB += n * s.Size.MemoryMB
-	w.reserved.Accelerators += n * s.Size.Accelerators
-	if s.Fills {
-		milli := n * s.Size.CPUMilli * int64(w.pace) / 100
-		w.filling += milli
-		w.fills[s.Image] += milli
-		return
-	}
-	w.reserved.CPUMilli += n * s.Size.CPUMilli
-	if s.Standing {
-		w.serving += n * s.Size.CPUMilli
-		w.servings[clash.Serving{Job: s.job.ID, Image: s.Image}] += n * s.Size.CPUMilli
-	}
-}
+func (w place) release(s *step) { w.book(s, w.pace, -1) }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -8,39 +8,46 @@
 // Plan claims places for tasks that may run. The claims take effect once they
 // are stored.
 func (c *Core) Plan(now time.Time) {
-	var steps []*step
+	var turns []turn
 	for j := range c.active {
 		for _, o := range j.occurs {
 			for _, s := range o.steps {
 				if s.open > 0 && s.ready() {
-					steps = append(steps, s)
+					turns = append(turns, turn{step: s, late: s.late(now), left: s.left()})
 				}
 			}
 		}
 	}
-	slices.SortFunc(steps, func(a, b *step) int { return c.compare(a, b, now) })
+	slices.SortFunc(turns, compare)
 	pool := c.pool(now)
 	c.unadvised = nil
-	for _, s := range steps {
-		if !c.planStep(s, pool, now) && s.job.policy.Advised {
-			c.unadvised = append(c.unadvised, s)
+	for _, t := range turns {
+		if !c.planStep(t.step, pool, now) && t.job.policy.Advised {
+			c.unadvised = append(c.unadvised, t.step)
 		}
 	}
 }
 
+// turn is a step that may run, with what decides when its turn is.
+type turn struct {
+	*step
+	late bool
+	left time.Duration
+}
+
 // compare orders steps: standing ones first, then by priority, those that can
 // still meet their objective before those that cannot, and shorter jobs first.
-func (c *Core) compare(a, b *step, now time.Time) int {
+func compare(a, b turn) int {
 	if a.Standing != b.Standing {
 		return order(a.Standing, b.Standing)
 	}
 	if d := a.job.policy.Priority - b.job.policy.Priority; d != 0 {
 		return d
 	}
-	if la, lb := a.late(now), b.late(now); la != lb {
-		return order(lb, la)
+	if a.late != b.late {
+		return order(b.late, a.late)
 	}
-	if d := a.left() - b.left(); d != 0 {
+	if d := a.left - b.left; d != 0 {
 		return sign(int64(d))
 	}
 	if d := a.job.arrived.Compare(b.job.arrived); d != 0 {
@@ -72,7 +79,7 @@
 // objective is the time that an occurrence should take.
 func (s *step) objective() time.Duration {
 	p := s.job.policy
-	return time.Duration(p.Stretch*float64(s.occur.chain())) + p.Slack
+	return time.Duration(p.Stretch*float64(s.occur.longest)) + p.Slack
 }
 
 func order(a, b bool) int {
--- a/shard/slack.go
+++ b/shard/slack.go
@@ -2,20 +2,27 @@
 
 import "github.com/berylspar/spar/clash"
 
-// serving is what a serving task is known by to the model.
-func (r *run) serving() clash.Serving {
-	return clash.Serving{Job: r.task.step.job.ID, Image: r.task.step.Image}
+// serving is what a step that serves is known by to the model.
+func (s *step) serving() clash.Serving { return clash.Serving{Job: s.job.ID, Image: s.Image} }
+
+// milli is what a fill of the step asks for at a pace, in thousandths of a
+// processor.
+func (s *step) milli(pace int) int64 { return s.Size.CPUMilli * int64(pace) / 100 }
+
+// slack is what a serving task has beside no fill.
+func (c *Core) slack(r *run) float64 {
+	now, _ := c.clash.Slack(r.task.step.serving())
+	return now
 }
 
 // slackOf is the slack that a serving task should have beside some fills.
 func (c *Core) slackOf(r *run, fills []clash.Share) float64 {
-	now, _ := c.clash.Slack(r.serving())
-	return now - c.clash.Costs(r.task.step.Image, fills)
+	return c.slack(r) - c.clash.Costs(r.task.step.Image, fills)
 }
 
 // cost is the slack that a fill takes from a serving task beside it.
 func (c *Core) cost(r, f *run) float64 {
-	asked := f.task.step.Size.CPUMilli * int64(f.pace) / 100
+	asked := f.task.step.milli(f.pace)
 	return c.clash.Cost(r.task.step.Image, clash.Share{Image: f.task.step.Image, Part: f.worker.part(max(f.figure, asked/2))})
 }
 
@@ -59,7 +66,7 @@
 func (c *Core) pressureWith(w *candidate, s *step, pace int) float64 {
 	var most float64
 	for serving := range w.servings {
-		own := c.clash.Cost(serving.Image, clash.Share{Image: s.Image, Part: w.part(s.Size.CPUMilli * int64(pace) / 100)})
+		own := c.clash.Cost(serving.Image, clash.Share{Image: s.Image, Part: w.part(s.milli(pace))})
 		most = max(most, (own+c.taken(w, serving.Image))/c.room(serving))
 	}
 	return most
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -54,29 +54,39 @@
 	fills    map[string]int64
 }
 
+// usage adds up what runs on a worker. A serving task that is over its target
+// whatever the fills do counts with its size, and bounds no fill.
 func (w *worker) usage(now time.Time) usage {
 	u := usage{servings: map[clash.Serving]int64{}, fills: map[string]int64{}}
 	for r := range w.runs {
 		s := r.task.step
-		u.reserved.MemoryMB += s.Size.MemoryMB
-		u.reserved.Accelerators += s.Size.Accelerators
-		if s.Fills {
-			milli := s.Size.CPUMilli * int64(r.pace) / 100
-			u.filling += milli
-			u.fills[s.Image] += milli
-			continue
-		}
-		u.reserved.CPUMilli += s.Size.CPUMilli
-		if s.Standing {
-			u.serving += s.Size.CPUMilli
-			if !w.isSlow(r, now) {
-				u.servings[r.serving()] += s.Size.CPUMilli
+		u.book(s, r.pace, 1)
+		if s.Standing && !s.Fills && w.isSlow(r, now) {
+			if u.servings[s.serving()] -= s.Size.CPUMilli; u.servings[s.serving()] == 0 {
+				delete(u.servings, s.serving())
 			}
 		}
 	}
 	return u
 }
 
+// book adds n tasks of a step at a pace.
+func (u *usage) book(s *step, pace int, n int64) {
+	u.reserved.MemoryMB += n * s.Size.MemoryMB
+	u.reserved.Accelerators += n * s.Size.Accelerators
+	if s.Fills {
+		milli := n * s.milli(pace)
+		u.filling += milli
+		u.fills[s.Image] += milli
+		return
+	}
+	u.reserved.CPUMilli += n * s.Size.CPUMilli
+	if s.Standing {
+		u.serving += n * s.Size.CPUMilli
+		u.servings[s.serving()] += n * s.Size.CPUMilli
+	}
+}
+
 // ofStep counts the runs of a step on the worker.
 func (w *worker) ofStep(s *step) int {
 	n := 0
