One way to build a daemon; one piece for the stand-ins' delays

The loop that provides constructors and strips the error of the one that failed stood in three daemons; it is common.Build. (agent and stand without batch keep their own: they print such an error unstripped.) The clients of the store's and the worker's stand-ins waited, slept and fell silent with the same code; it is stand/delay, and their errors say what they said.

--- a/agent/batch/app.go
+++ b/agent/batch/app.go
@@ -51,8 +51,9 @@
 func run(ctx context.Context, s Settings, out, _ io.Writer) error {
 	lines := common.NewLines(out, common.LinesPerSecond)
 	defer lines.Close()
-	c := dig.New()
-	for _, p := range []any{
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return common.Build(func(d *daemon) error { return d.run(ctx) },
 		func() Settings { return s },
 		func() (*common.Base, error) { return common.NewBase(ctx, s.Settings, "agent", s.Name, lines, lines) },
 		func(b *common.Base) common.Common { return b.Common },
@@ -65,15 +66,7 @@
 			return hand.NewHand(c, s.Name, b, w, st, hand.DialTCP, steady.Now)
 		},
 		func(p parts) *daemon { return &daemon{Common: p.Base.Common, parts: p} },
-	} {
-		if err := c.Provide(p); err != nil {
-			return err
-		}
-	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	err := c.Invoke(func(d *daemon) error { return d.run(ctx) })
-	return dig.RootCause(err)
+	)
 }
 
 func decodeHeartbeat(id string, body []byte) (hand.Report, error) {
--- a/entry/app/build.go
+++ b/entry/app/build.go
@@ -27,7 +27,6 @@
 	"github.com/berylspar/spar/tail"
 	"github.com/berylspar/spar/wire"
 	"github.com/cockroachdb/errors"
-	"go.uber.org/dig"
 )
 
 // sessionName is the name of an entry from one start to the next.
@@ -44,8 +43,7 @@
 
 // session runs an entry under one name.
 func session(ctx context.Context, s Settings, out, errs io.Writer) error {
-	c := dig.New()
-	for _, p := range []any{
+	return common.Build(func(d *daemon) error { return d.run(ctx) },
 		func() Settings { return s },
 		func() lease.Terms { return s.Terms },
 		func() sessionName { return newName(s.Name) },
@@ -66,13 +64,7 @@
 		newServer,
 		newAdmin,
 		newDaemon,
-	} {
-		if err := c.Provide(p); err != nil {
-			return err
-		}
-	}
-	err := c.Invoke(func(d *daemon) error { return d.run(ctx) })
-	return dig.RootCause(err)
+	)
 }
 
 func newRouter(s Settings) *route.Router {
--- a/entry/batch/app.go
+++ b/entry/batch/app.go
@@ -63,8 +63,9 @@
 func run(ctx context.Context, s Settings, out, _ io.Writer) error {
 	lines := common.NewLines(out, common.LinesPerSecond)
 	defer lines.Close()
-	c := dig.New()
-	for _, p := range []any{
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return common.Build(func(d *daemon) error { return d.run(ctx) },
 		func() Settings { return s },
 		func() (*common.Base, error) { return common.NewBase(ctx, s.Settings, "entry", s.Name, lines, lines) },
 		func(b *common.Base) common.Common { return b.Common },
@@ -88,15 +89,7 @@
 		},
 		desk.NewDesk,
 		func(p parts) *daemon { return &daemon{Common: p.Base.Common, parts: p} },
-	} {
-		if err := c.Provide(p); err != nil {
-			return err
-		}
-	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	err := c.Invoke(func(d *daemon) error { return d.run(ctx) })
-	return dig.RootCause(err)
+	)
 }
 
 func decodeChange(r spar.Record) (config.Change, error) {
--- a/stand/labor/client.go
+++ b/stand/labor/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/stand/delay"
 	"github.com/cockroachdb/errors"
 )
 
@@ -31,6 +32,9 @@
 // callLimit is how long a call without an answer takes.
 const callLimit = 300 * time.Millisecond
 
+// who is asked.
+const who = "worker"
+
 // NewClient returns a healthy way to a worker.
 func NewClient(w *Worker, seed uint64) *Client {
 	return &Client{worker: w, random: rand.New(rand.NewPCG(seed, 3))}
@@ -57,36 +61,18 @@
 		time.AfterFunc(by, func() { _, _ = do() })
 	}
 	if cut || late {
-		return zero, silence(ctx, callLimit)
+		return zero, delay.Silence(ctx, who, callLimit)
 	}
-	if err := pause(ctx, time.Millisecond); err != nil {
+	if err := delay.Sleep(ctx, who, time.Millisecond); err != nil {
 		return zero, err
 	}
 	out, err := do()
 	if errors.Is(err, spar.ErrUnknown) {
-		return zero, silence(ctx, callLimit)
+		return zero, delay.Silence(ctx, who, callLimit)
 	}
 	return out, err
 }
 
-func silence(ctx context.Context, d time.Duration) error {
-	if err := pause(ctx, d); err != nil {
-		return err
-	}
-	return errors.Mark(errors.New("worker: no answer"), spar.ErrUnknown)
-}
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return errors.Mark(errors.Wrap(ctx.Err(), "worker"), spar.ErrUnknown)
-	case <-t.C:
-		return nil
-	}
-}
-
 // Start implements spar.Worker.
 func (c *Client) Start(ctx context.Context, t spar.Target, o spar.StartOrder) (spar.StartResult, error) {
 	return order(ctx, c, func() (spar.StartResult, error) { return c.worker.Start(t, o) })
@@ -111,13 +97,7 @@
 	if err != nil || len(l.Ended) > 0 || wait == 0 {
 		return l, err
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-more:
-	}
+	delay.Await(ctx, wait, more)
 	return order(ctx, c, func() (spar.Listed, error) {
 		l, _, err := c.worker.Hold(t, acked, until)
 		return l, err
--- a/stand/store/client.go
+++ b/stand/store/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/stand/delay"
 	"github.com/cockroachdb/errors"
 )
 
@@ -39,6 +40,9 @@
 	callLimit  = time.Second
 )
 
+// who is asked.
+const who = "store"
+
 // NewClient returns a healthy way to a store.
 func NewClient(s *Store, seed uint64) *Client {
 	return &Client{store: s, random: rand.New(rand.NewPCG(seed, 7))}
@@ -71,50 +75,28 @@
 func call[T any](ctx context.Context, c *Client, write bool, do func() (T, error)) (T, error) {
 	var zero T
 	f := c.draw()
-	if err := sleep(ctx, answerTime/2+f.Delay); err != nil {
+	if err := delay.Sleep(ctx, who, answerTime/2+f.Delay); err != nil {
 		return zero, err
 	}
 	switch {
 	case f.Cut:
-		return zero, silence(ctx)
+		return zero, delay.Silence(ctx, who, callLimit)
 	case f.Refuse:
 		return zero, errors.Mark(errors.New("store: not served"), spar.ErrRefused)
 	case write && f.late:
 		time.AfterFunc(f.LateBy, func() { _, _ = do() })
-		return zero, silence(ctx)
+		return zero, delay.Silence(ctx, who, callLimit)
 	}
 	out, err := do()
 	if write && f.lost {
-		return zero, silence(ctx)
+		return zero, delay.Silence(ctx, who, callLimit)
 	}
-	if e := sleep(ctx, answerTime/2); e != nil {
+	if e := delay.Sleep(ctx, who, answerTime/2); e != nil {
 		return zero, e
 	}
 	return out, err
 }
 
-// silence waits for an answer that does not come.
-func silence(ctx context.Context) error {
-	t := time.NewTimer(callLimit)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-	return errors.Mark(errors.New("store: no answer"), spar.ErrUnknown)
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return errors.Mark(errors.Wrap(ctx.Err(), "store"), spar.ErrUnknown)
-	case <-t.C:
-		return nil
-	}
-}
-
 // Append implements spar.Store.
 func (c *Client) Append(ctx context.Context, topic string, p *spar.Producer, records []spar.Record) (int64, error) {
 	return call(ctx, c, true, func() (int64, error) { return c.store.Append(topic, p, records) })
@@ -130,13 +112,7 @@
 	if err != nil || len(b.Records) > 0 {
 		return b, err
 	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-more:
-	}
+	delay.Await(ctx, wait, more)
 	return call(ctx, c, false, func() (spar.Batch, error) {
 		b, _, err := c.store.Read(topic, from)
 		return b, err
