Tests: shared beginnings, and files by what they are about

prove/world: the beginning of a calm world and the waiting stood five times; evenWorld and track.Pause serve them. shard: begin and served replace the same three and four lines. core_test.go is split into scenarios of one owner, of takeovers and of runs that stand still, world_test.go into the world and its jobs. All 28 scenarios and all assertions are as they were.

--- a/prove/world/lapsed_test.go
+++ b/prove/world/lapsed_test.go
@@ -1,36 +1,31 @@
 package world_test
 
 import (
-	"context"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/berylspar/spar/shard"
 	"github.com/berylspar/spar/stand/store"
+	"github.com/berylspar/spar/track"
 )
 
 // An owner that was cut off from the store owns the shard again after another
 // has owned it. What it knew is out of date, and callers must not be told of it.
 func TestOwnerAgainAfterAnotherReadsAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		w := newWorld(ctx, t, 6, 2, 4, io.Discard)
-		w.even = true
-		ticks := make(chan struct{})
-		go w.tick(ticks)
-		defer w.close(cancel, ticks)
-		wait(ctx, 3*time.Second)
+		ctx, w, stop := evenWorld(t, 6, 2, 4)
+		defer stop()
+		track.Pause(ctx, 3*time.Second)
 		first := w.ownerNow()
 		second := w.entries[0]
 		if second == first {
 			second = w.entries[1]
 		}
 		w.submit(first)
-		wait(ctx, 100*time.Millisecond)
+		track.Pause(ctx, 100*time.Millisecond)
 		first.client.SetFaults(store.Faults{Cut: true})
-		for begun := time.Now(); w.ownerNow() != second || len(w.open()) > 0; wait(ctx, 20*time.Millisecond) {
+		for begun := time.Now(); w.ownerNow() != second || len(w.open()) > 0; track.Pause(ctx, 20*time.Millisecond) {
 			if time.Since(begun) > 10*time.Second {
 				t.Fatal("the second entry did not finish the job")
 			}
@@ -43,7 +38,7 @@
 					t.Fatalf("job %s, which has been told to be completed, is %q (known %v)", id, s, known)
 				}
 			}
-			wait(ctx, 10*time.Millisecond)
+			track.Pause(ctx, 10*time.Millisecond)
 		}
 		if w.ownerNow() != first {
 			t.Fatal("the first entry does not own the shard again")
--- a/prove/world/leave_test.go
+++ b/prove/world/leave_test.go
@@ -1,11 +1,11 @@
 package world_test
 
 import (
-	"context"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/berylspar/spar/track"
 )
 
 // limit is two seconds until the shard has a new owner, 1.4 s until the agent
@@ -17,17 +17,13 @@
 // there. A next owner that hears nothing would wait for 12 s.
 func TestWorkerLeavesWhileTheShardChangesHands(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		w := newWorld(ctx, t, 4, 2, 6, io.Discard)
-		w.even = true
-		ticks := make(chan struct{})
-		go w.tick(ticks)
-		defer w.close(cancel, ticks)
-		wait(ctx, 3*time.Second)
+		ctx, w, stop := evenWorld(t, 4, 2, 6)
+		defer stop()
+		track.Pause(ctx, 3*time.Second)
 		for range 6 {
 			w.submit(w.entries[0])
 		}
-		wait(ctx, 300*time.Millisecond)
+		track.Pause(ctx, 300*time.Millisecond)
 		owner, leaving := w.ownerNow(), w.nodes[0]
 		life, _ := leaving.worker.Life()
 		leaving.beats.Goodbye(life.ID)
@@ -38,7 +34,7 @@
 			if took := time.Since(begun); took > limit {
 				t.Fatalf("not ended %s after the worker left: %v", took, w.open())
 			}
-			wait(ctx, 100*time.Millisecond)
+			track.Pause(ctx, 100*time.Millisecond)
 		}
 		w.expectSound()
 	})
--- a/prove/world/net_test.go
+++ b/prove/world/net_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
 )
 
@@ -73,7 +74,7 @@
 		l := n.listeners[to]
 		n.mu.Unlock()
 		if l == nil || n.isCut(from, to) {
-			wait(ctx, 300*time.Millisecond)
+			track.Pause(ctx, 300*time.Millisecond)
 			return nil, errors.New("connect: no answer")
 		}
 		a, b := net.Pipe()
@@ -116,12 +117,3 @@
 	}
 	return c.Conn.Write(p)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/prove/world/random_test.go
+++ b/prove/world/random_test.go
@@ -14,6 +14,7 @@
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/stand/labor"
 	"github.com/berylspar/spar/stand/store"
+	"github.com/berylspar/spar/track"
 )
 
 var (
@@ -56,15 +57,15 @@
 			os.Stdout.Write(logs.Bytes())
 		}
 	}()
-	wait(ctx, 3*time.Second)
+	track.Pause(ctx, 3*time.Second)
 	for end := time.Now().Add(troubled); time.Now().Before(end); {
-		wait(ctx, time.Duration(100+w.random.IntN(700))*time.Millisecond)
+		track.Pause(ctx, time.Duration(100+w.random.IntN(700))*time.Millisecond)
 		w.due(time.Now())
 		w.strike()
 		w.expectSound()
 	}
 	w.heal()
-	for end := time.Now().Add(calm); ; wait(ctx, time.Second) {
+	for end := time.Now().Add(calm); ; track.Pause(ctx, time.Second) {
 		w.expectSound()
 		left := w.open()
 		if len(left) == 0 {
@@ -79,6 +80,17 @@
 	}
 }
 
+// evenWorld is a world without a log in which every task takes half a second and
+// ends well. It goes on until stop is called.
+func evenWorld(t *testing.T, seed uint64, entries, nodes int) (ctx context.Context, w *world, stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	w = newWorld(ctx, t, seed, entries, nodes, io.Discard)
+	w.even = true
+	ticks := make(chan struct{})
+	go w.tick(ticks)
+	return ctx, w, func() { w.close(cancel, ticks) }
+}
+
 // close stops everything.
 func (w *world) close(cancel context.CancelFunc, ticks <-chan struct{}) {
 	for _, e := range w.entries {
@@ -108,7 +120,7 @@
 				w.heartbeat(d)
 			}
 		}
-		wait(w.ctx, 10*time.Millisecond)
+		track.Pause(w.ctx, 10*time.Millisecond)
 	}
 }
 
--- a/prove/world/recovery_test.go
+++ b/prove/world/recovery_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/berylspar/spar/stand/store"
+	"github.com/berylspar/spar/track"
 )
 
 // samples is how often each loss is played.
@@ -32,7 +32,7 @@
 		for _, e := range w.entries {
 			e.client.SetFaults(store.Faults{Refuse: true})
 		}
-		wait(ctx, 10*time.Second)
+		track.Pause(ctx, 10*time.Second)
 		for _, e := range w.entries {
 			e.client.SetFaults(store.Faults{})
 		}
@@ -46,7 +46,7 @@
 			w.stopNode(n)
 			n.worker.Crash()
 		}
-		wait(ctx, 3*time.Second)
+		track.Pause(ctx, 3*time.Second)
 		for _, n := range w.nodes {
 			w.startNode(n)
 			w.restartWorker(n, "i-"+n.name+"-again")
@@ -77,15 +77,11 @@
 
 // sample plays a loss once.
 func sample(t *testing.T, seed uint64, l loss) time.Duration {
-	ctx, cancel := context.WithCancel(t.Context())
-	w := newWorld(ctx, t, seed, 3, 5, io.Discard)
-	w.even = true
-	ticks := make(chan struct{})
-	go w.tick(ticks)
-	defer w.close(cancel, ticks)
-	wait(ctx, 3*time.Second+time.Duration(w.random.IntN(1000))*time.Millisecond)
+	ctx, w, stop := evenWorld(t, seed, 3, 5)
+	defer stop()
+	track.Pause(ctx, 3*time.Second+time.Duration(w.random.IntN(1000))*time.Millisecond)
 	w.submit(w.entries[0])
-	wait(ctx, 500*time.Millisecond)
+	track.Pause(ctx, 500*time.Millisecond)
 	l.strike(ctx, w)
 	before, begun := w.record.Starts(), time.Now()
 	for _, e := range w.entries {
@@ -97,7 +93,7 @@
 		if time.Since(begun) > time.Minute {
 			t.Fatalf("seed %d: no start within a minute", seed)
 		}
-		wait(ctx, 5*time.Millisecond)
+		track.Pause(ctx, 5*time.Millisecond)
 	}
 	took := time.Since(begun)
 	w.expectSound()
@@ -122,24 +118,20 @@
 // loseAgent cuts an agent off while its worker works, and returns the time until
 // all jobs have ended.
 func loseAgent(t *testing.T, seed uint64) time.Duration {
-	ctx, cancel := context.WithCancel(t.Context())
-	w := newWorld(ctx, t, seed, 3, 5, io.Discard)
-	w.even = true
-	ticks := make(chan struct{})
-	go w.tick(ticks)
-	defer w.close(cancel, ticks)
-	wait(ctx, 3*time.Second+time.Duration(w.random.IntN(1000))*time.Millisecond)
+	ctx, w, stop := evenWorld(t, seed, 3, 5)
+	defer stop()
+	track.Pause(ctx, 3*time.Second+time.Duration(w.random.IntN(1000))*time.Millisecond)
 	for range 5 {
 		w.submit(w.entries[0])
 	}
-	wait(ctx, 300*time.Millisecond)
+	track.Pause(ctx, 300*time.Millisecond)
 	w.net.setCut(w.nodes[0].name, true)
 	begun := time.Now()
 	for len(w.open()) > 0 {
 		if time.Since(begun) > time.Minute {
 			t.Fatalf("seed %d: not ended within a minute: %v", seed, w.open())
 		}
-		wait(ctx, 20*time.Millisecond)
+		track.Pause(ctx, 20*time.Millisecond)
 	}
 	took := time.Since(begun)
 	w.expectSound()
--- a/shard/bench_test.go
+++ b/shard/bench_test.go
@@ -64,6 +64,13 @@
 	w.core.Submit(j, w.now)
 }
 
+// begin submits a job of which one task can start.
+func (w *world) begin(id, queue string, steps ...spar.Step) spar.StartOrder {
+	w.Helper()
+	w.submit(id, queue, steps...)
+	return w.expectStarts(w.turn(), 1)[0]
+}
+
 // turn plans, stores, and returns the messages to the agents.
 func (w *world) turn() map[string]*link.Down {
 	w.core.Tick(w.now, w.now)
--- a/shard/colo_test.go
+++ b/shard/colo_test.go
@@ -17,6 +17,14 @@
 	return spar.Step{Count: n, Size: spar.Size{CPUMilli: 4000, MemoryMB: 3000}, Estimate: 2 * time.Second, Checkpoints: true, Fills: true, Image: image}
 }
 
+// served is a world with one worker, on which a serving task runs.
+func served(t *testing.T) (*world, spar.StartOrder) {
+	t.Helper()
+	w := newWorld(t)
+	w.worker("n1")
+	return w, w.begin("s", "watches", serve("desk"))
+}
+
 // tails reports a serving task's tail and the processors that fills use.
 func (w *world) tails(node string, serving spar.StartOrder, tail int64, fills ...spar.StartOrder) {
 	m := &link.Up{Running: []spar.Running{{Task: serving.Task, Run: serving.Run, Percent: 100, Figure: tail}}}
@@ -39,12 +47,8 @@
 }
 
 func TestFillThatDisturbsIsTakenAway(t *testing.T) {
-	w := newWorld(t)
-	w.worker("n1")
-	w.submit("s", "watches", serve("desk"))
-	s := w.expectStarts(w.turn(), 1)[0]
-	w.submit("f", "plans", fill("audit", 1))
-	f := w.expectStarts(w.turn(), 1)[0]
+	w, s := served(t)
+	f := w.begin("f", "plans", fill("audit", 1))
 	w.worker("n2")
 	w.learn("n1", s, f)
 	if n := len(stops(w.turn())); n != 1 {
@@ -59,10 +63,7 @@
 }
 
 func TestHarmlessFillStays(t *testing.T) {
-	w := newWorld(t)
-	w.worker("n1")
-	w.submit("s", "watches", serve("desk"))
-	s := w.expectStarts(w.turn(), 1)[0]
+	w, s := served(t)
 	w.submit("f", "plans", fill("audit", 2))
 	f := w.expectStarts(w.turn(), 1)
 	for range 10 {
@@ -77,12 +78,8 @@
 // A fill that disturbs every worker's serving tasks waits, and past its
 // objective it runs at a slow pace: it must not wait for ever beside free room.
 func TestFillThatNobodyWantsRunsSlowly(t *testing.T) {
-	w := newWorld(t)
-	w.worker("n1")
-	w.submit("s", "watches", serve("desk"))
-	s := w.expectStarts(w.turn(), 1)[0]
-	w.submit("f", "plans", fill("audit", 1))
-	f := w.expectStarts(w.turn(), 1)[0]
+	w, s := served(t)
+	f := w.begin("f", "plans", fill("audit", 1))
 	w.learn("n1", s, f)
 	w.turn()
 	w.report("n1", ended(1, f, spar.EndStopped))
@@ -104,12 +101,8 @@
 // The same beside a load that leaves hardly any slack: past its objective a fill
 // starts at the slowest pace.
 func TestLateFillStartsBesideAHighLoad(t *testing.T) {
-	w := newWorld(t)
-	w.worker("n1")
-	w.submit("s", "watches", serve("desk"))
-	s := w.expectStarts(w.turn(), 1)[0]
-	w.submit("f", "plans", fill("audit", 1))
-	f := w.expectStarts(w.turn(), 1)[0]
+	w, s := served(t)
+	f := w.begin("f", "plans", fill("audit", 1))
 	w.learn("n1", s, f)
 	w.turn()
 	w.report("n1", ended(1, f, spar.EndStopped))
@@ -127,10 +120,7 @@
 // Whatever is believed of the images, no fill works beside a task that has been
 // over its target for long.
 func TestAllFillsLeaveATaskLongOverItsTarget(t *testing.T) {
-	w := newWorld(t)
-	w.worker("n1")
-	w.submit("s", "watches", serve("desk"))
-	s := w.expectStarts(w.turn(), 1)[0]
+	w, s := served(t)
 	small := []spar.Step{fill("audit", 1), fill("count", 1)}
 	for i := range small {
 		small[i].Size.CPUMilli = 2000
@@ -152,12 +142,8 @@
 
 // What is known of the images comes with the stored state.
 func TestNextOwnerKnowsWhatDisturbs(t *testing.T) {
-	w := newWorld(t)
-	w.worker("n1")
-	w.submit("s", "watches", serve("desk"))
-	s := w.expectStarts(w.turn(), 1)[0]
-	w.submit("f", "plans", fill("audit", 1))
-	f := w.expectStarts(w.turn(), 1)[0]
+	w, s := served(t)
+	f := w.begin("f", "plans", fill("audit", 1))
 	w.learn("n1", s, f)
 	w.turn()
 	w.report("n1", ended(1, f, spar.EndStopped))
@@ -175,12 +161,8 @@
 }
 
 func TestNoFillGoesWhereATailIsOverItsTarget(t *testing.T) {
-	w := newWorld(t)
-	w.worker("n1")
-	w.submit("s", "watches", serve("desk"))
-	s := w.expectStarts(w.turn(), 1)[0]
-	w.submit("f", "plans", small("audit"))
-	f := w.expectStarts(w.turn(), 1)[0]
+	w, s := served(t)
+	f := w.begin("f", "plans", small("audit"))
 	w.pass(500 * time.Millisecond)
 	w.tails("n1", s, 200, f)
 	w.submit("g", "plans", small("count"))
@@ -195,10 +177,7 @@
 // A worker whose serving task is over its target without any fill is slow by
 // itself; fills must not wait for it for ever.
 func TestWorkerThatIsSlowByItselfStillTakesFills(t *testing.T) {
-	w := newWorld(t)
-	w.worker("n1")
-	w.submit("s", "watches", serve("desk"))
-	s := w.expectStarts(w.turn(), 1)[0]
+	w, s := served(t)
 	for range 6 {
 		w.pass(500 * time.Millisecond)
 		w.tails("n1", s, 200)
--- a/shard/core_test.go
+++ b/shard/core_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -16,18 +17,18 @@
 }
 
 func TestScenario(t *testing.T) {
-	for _, s := range scenarios {
+	for _, s := range slices.Concat(scenarios, takeovers) {
 		t.Run(s.name, func(t *testing.T) { s.run(newWorld(t)) })
 	}
 }
 
+// scenarios are about one owner and one life of each worker.
 var scenarios = []scenario{
 	{"a job runs its steps in order and completes", func(w *world) {
 		w.worker("n1")
 		second := check(1)
 		second.After = []int{0}
-		w.submit("j1", "checks", check(1), second)
-		a := w.expectStarts(w.turn(), 1)[0]
+		a := w.begin("j1", "checks", check(1), second)
 		w.expectStarts(w.turn(), 0)
 		w.report("n1", ended(1, a, spar.EndDone))
 		w.expectState("j1", shard.Active)
@@ -57,8 +58,7 @@
 	}},
 	{"an end is acknowledged only after it is stored", func(w *world) {
 		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		a := w.expectStarts(w.turn(), 1)[0]
+		a := w.begin("j1", "checks", check(1))
 		w.report("n1", ended(7, a, spar.EndDone))
 		if m := w.core.Immediate(); m["n1"] != nil && m["n1"].Acked != 0 {
 			w.Fatal("acknowledged before storing")
@@ -76,111 +76,6 @@
 			w.Fatalf("run %d is ordered, want 2", o.Run)
 		}
 	}},
-	{"a next owner takes over what runs", func(w *world) {
-		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		a := w.expectStarts(w.turn(), 1)[0]
-		w.takeover(time.Minute)
-		w.worker("n1", spar.Running{Task: a.Task, Run: a.Run, Percent: 10})
-		w.expectStarts(w.turn(), 0)
-		w.report("n1", ended(1, a, spar.EndDone))
-		w.turn()
-		w.expectState("j1", shard.Completed)
-	}},
-	{"a next owner starts again what its list does not have", func(w *world) {
-		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		w.expectStarts(w.turn(), 1)
-		w.takeover(time.Minute)
-		w.worker("n2")
-		w.expectStarts(w.turn(), 0)
-		w.worker("n1")
-		if o := w.expectStarts(w.turn(), 1)[0]; o.Run != 2 {
-			w.Fatalf("run %d is ordered, want 2", o.Run)
-		}
-	}},
-	{"a next owner waits for a worker that it does not reach", func(w *world) {
-		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		w.expectStarts(w.turn(), 1)
-		w.takeover(12 * time.Second)
-		w.worker("n2")
-		w.pass(11 * time.Second)
-		w.expectStarts(w.turn(), 0)
-		w.pass(1100 * time.Millisecond)
-		w.expectStarts(w.turn(), 1)
-	}},
-	{"the tasks of a silent worker go elsewhere after its lease, with the clock's slack", func(w *world) {
-		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		w.expectStarts(w.turn(), 1)
-		w.worker("n2")
-		w.core.Disconnect("n1", w.tokens["n1"])
-		w.pass(limits.Lease)
-		w.expectStarts(w.turn(), 0)
-		w.pass(limits.Lease/50 + 60*time.Millisecond)
-		w.expectStarts(w.turn(), 1)
-	}},
-	{"a new life of another name frees what the last one ran at once", func(w *world) {
-		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		w.expectStarts(w.turn(), 1)
-		w.life("n1", spar.Life{ID: "i-other", Born: 2})
-		if o := w.expectStarts(w.turn(), 1)[0]; o.Run != 2 {
-			w.Fatalf("run %d is ordered, want 2", o.Run)
-		}
-	}},
-	{"a new life of the same name keeps what was ordered until it is listed", func(w *world) {
-		w.worker("n1")
-		w.submit("j1", "checks", check(2))
-		all := w.expectStarts(w.turn(), 2)
-		w.worker("n2")
-		w.core.Connect("n1", info(spar.Life{ID: "i-n1", Born: 2}), 99, nil, w.now)
-		w.tokens["n1"] = 99
-		w.expectStarts(w.turn(), 0)
-		w.core.Disconnect("n1", 99)
-		w.pass(12 * time.Second)
-		w.expectStarts(w.turn(), 0)
-		w.core.Connect("n1", info(spar.Life{ID: "i-n1", Born: 2}), 100, nil, w.now)
-		w.tokens["n1"] = 100
-		// The first order came late and was carried out in the new life.
-		w.report("n1", &link.Up{Listed: true, Running: []spar.Running{{Task: all[0].Task, Run: 1}}})
-		if o := w.expectStarts(w.turn(), 1)[0]; o.Task != all[1].Task || o.Run != 2 {
-			w.Fatalf("%+v is ordered", o)
-		}
-	}},
-	{"an end of the last life is not acknowledged to the new one", func(w *world) {
-		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		a := w.expectStarts(w.turn(), 1)[0]
-		w.report("n1", ended(7, a, spar.EndDone))
-		w.life("n1", spar.Life{ID: "i-n1", Born: 2})
-		if m := w.turn(); m["n1"] != nil && m["n1"].Acked != 0 {
-			w.Fatalf("end %d is acknowledged", m["n1"].Acked)
-		}
-	}},
-	{"a third life starts again what the second lost", func(w *world) {
-		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		w.expectStarts(w.turn(), 1)
-		w.life("n1", spar.Life{ID: "i-n1", Born: 2})
-		if o := w.expectStarts(w.turn(), 1)[0]; o.Run != 2 {
-			w.Fatalf("run %d is ordered, want 2", o.Run)
-		}
-	}},
-	{"a message of an earlier session changes nothing", func(w *world) {
-		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		a := w.expectStarts(w.turn(), 1)[0]
-		old := w.tokens["n1"]
-		w.worker("n1", spar.Running{Task: a.Task, Run: a.Run})
-		w.core.Report("n1", old, ended(1, a, spar.EndDone), w.now)
-		if w.core.Grant("n1", old, w.now) {
-			w.Fatal("a lease is granted to an earlier session")
-		}
-		w.turn()
-		w.expectState("j1", shard.Active)
-	}},
 	{"failures count up to the limit and no further start follows", func(w *world) {
 		w.worker("n1")
 		w.worker("n2")
@@ -196,8 +91,7 @@
 	}},
 	{"failures are remembered by the next owner", func(w *world) {
 		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		o := w.expectStarts(w.turn(), 1)[0]
+		o := w.begin("j1", "checks", check(1))
 		w.report("n1", ended(1, o, spar.EndFailed))
 		w.turn()
 		w.takeover(0)
@@ -209,8 +103,7 @@
 	}},
 	{"the same failure told twice counts once", func(w *world) {
 		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		o := w.expectStarts(w.turn(), 1)[0]
+		o := w.begin("j1", "checks", check(1))
 		w.report("n1", ended(1, o, spar.EndFailed))
 		w.report("n1", ended(1, o, spar.EndFailed))
 		w.turn()
@@ -250,8 +143,7 @@
 	}},
 	{"a run of a cancelled job that a list shows is stopped again", func(w *world) {
 		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		o := w.expectStarts(w.turn(), 1)[0]
+		o := w.begin("j1", "checks", check(1))
 		w.core.Cancel("j1", w.now)
 		w.turn()
 		w.worker("n1", spar.Running{Task: o.Task, Run: o.Run})
@@ -283,8 +175,7 @@
 	}},
 	{"a refused start goes elsewhere and counts no attempt", func(w *world) {
 		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		o := w.expectStarts(w.turn(), 1)[0]
+		o := w.begin("j1", "checks", check(1))
 		w.report("n1", &link.Up{Outcomes: []link.Outcome{{Task: o.Task, Run: o.Run, Result: spar.StartNoRoom}}})
 		w.expectStarts(w.turn(), 0)
 		w.pass(time.Second)
@@ -343,8 +234,7 @@
 	}},
 	{"an ended job is forgotten after its time, in the store too", func(w *world) {
 		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		o := w.expectStarts(w.turn(), 1)[0]
+		o := w.begin("j1", "checks", check(1))
 		w.report("n1", ended(1, o, spar.EndDone))
 		w.turn()
 		w.pass(limits.Keep + time.Second)
@@ -359,8 +249,7 @@
 	}},
 	{"an end that comes after the run was given up still counts", func(w *world) {
 		w.worker("n1")
-		w.submit("j1", "checks", check(1))
-		o := w.expectStarts(w.turn(), 1)[0]
+		o := w.begin("j1", "checks", check(1))
 		w.core.Disconnect("n1", w.tokens["n1"])
 		w.pass(6 * time.Second)
 		w.turn()
@@ -370,65 +259,3 @@
 		w.expectState("j1", shard.Completed)
 	}},
 }
-
-// A new owner need not wait for the longest time when the agent tells how long
-// leases can last, or when a new process of the agent bounds them.
-func TestAgentTellsHowLongLeasesLast(t *testing.T) {
-	second := time.Second
-	for name, c := range map[string]struct {
-		lease         *time.Duration
-		within, after time.Duration
-	}{
-		"told":     {&second, second, second + limits.Lease/50 + 60*time.Millisecond},
-		"not told": {nil, limits.Lease, limits.Lease + limits.Lease/50 + 60*time.Millisecond},
-	} {
-		t.Run(name, func(t *testing.T) {
-			w := newWorld(t)
-			w.worker("n1")
-			w.submit("j1", "checks", check(1))
-			w.expectStarts(w.turn(), 1)
-			w.takeover(12 * time.Second)
-			w.worker("n2")
-			// The agent is there, and its worker does not answer.
-			w.core.Connect("n1", info(spar.Life{ID: "i-n1", Born: 1}), 77, c.lease, w.now)
-			w.core.Disconnect("n1", 77)
-			w.pass(c.within)
-			w.core.Grant("n2", w.tokens["n2"], w.now)
-			w.expectStarts(w.turn(), 0)
-			w.pass(c.after - c.within)
-			w.expectStarts(w.turn(), 1)
-		})
-	}
-}
-
-// A worker on which everything stands still gives its tasks back, and gets no
-// more for a while.
-func TestTasksThatStandStillGoElsewhere(t *testing.T) {
-	w := newWorld(t)
-	w.worker("n1")
-	w.submit("j1", "checks", check(3))
-	stuck := w.expectStarts(w.turn(), 3)
-	w.worker("n2")
-	m := &link.Up{}
-	for _, o := range stuck {
-		m.Running = append(m.Running, spar.Running{Task: o.Task, Run: o.Run, Percent: 3})
-	}
-	w.report("n1", m)
-	w.pass(time.Second)
-	w.report("n1", &link.Up{Beat: 2})
-	if n := len(stops(w.turn())); n != 0 {
-		t.Fatalf("%d stops after a second", n)
-	}
-	w.pass(time.Second)
-	w.report("n1", &link.Up{Beat: 3})
-	if n := len(stops(w.turn())); n != 3 {
-		t.Fatalf("%d stops after two seconds, want 3", n)
-	}
-	for i, o := range stuck {
-		w.report("n1", ended(int64(i+1), o, spar.EndStopped))
-	}
-	m2 := w.turn()
-	if w.expectStarts(m2, 3); m2["n2"] == nil || len(m2["n2"].Starts) != 3 {
-		t.Fatal("not all went to the sound worker")
-	}
-}
