Plan computes the headroom of a worker once a pass, and skips steps without room

Cause: the owner's processor.

Change: within a pass, the slack that is left beside the serving tasks of a worker is computed once for each image of fills and kept up to date while tasks are placed; a step that needs at least as much as one that found no room is not tried; relieving a worker uses the candidates of the last Plan if they are fresh. Decisions are the same: TestShortagesChangeNoDecision compares 300 random fleets with a plan that tries everything, TestHeadroomFollowsPlacements compares with a computation from scratch.

--- a/shard/colocation.go
+++ b/shard/colocation.go
@@ -196,7 +196,7 @@
 // relieveServingTasks evicts or slows down fills beside the serving tasks over
 // their targets.
 func (sc *Scheduler) relieveServingTasks(w *worker, now time.Time) {
-	pool := sc.candidates(now)
+	pool := sc.recentCandidates(now)
 	for r := range w.runs {
 		if r.overTargetSince.IsZero() {
 			continue
@@ -206,6 +206,20 @@
 	w.reliefPausedUntil = now.Add(tailSettleTime)
 }
 
+// maxPoolAge is the age up to which the candidates of the last Plan serve to
+// find out whether a fill could run elsewhere. Listing them again for each
+// worker over its targets would cost the owner more than planning.
+const maxPoolAge = 150 * time.Millisecond
+
+// recentCandidates returns the candidates of the last Plan, or current ones if
+// it is too long ago.
+func (sc *Scheduler) recentCandidates(now time.Time) []*candidate {
+	if now.Sub(sc.poolAt) > maxPoolAge {
+		sc.pool, sc.poolAt = sc.candidates(now), now
+	}
+	return sc.pool
+}
+
 // fillsByCost returns the fills beside a serving task, ordered by the slack
 // that they take from it, highest first, and their total.
 func (sc *Scheduler) fillsByCost(r *run) ([]*run, float64) {
@@ -230,7 +244,7 @@
 // pace.
 func (sc *Scheduler) fitsElsewhere(f *run, pool []*candidate, now time.Time) bool {
 	for _, w := range pool {
-		if w.worker != f.worker && sc.canAccept(w, f.task, now) && sc.sustainablePace(w, f.task.step) >= 100 {
+		if w.worker != f.worker && w.token != 0 && sc.canAccept(w, f.task, now) && sc.sustainablePace(w, f.task.step) >= 100 {
 			return true
 		}
 	}
@@ -254,7 +268,7 @@
 			continue
 		}
 		others := &candidate{worker: w, allocation: w.allocation(now)}
-		others.cpuByFillImage[f.task.step.Image] -= f.task.step.fillCPU(f.pace)
+		others.addFill(f.task.step.Image, -f.task.step.fillCPU(f.pace))
 		if pace := sc.sustainablePace(others, f.task.step); pace >= f.pace+minPaceIncrease || pace >= 100 {
 			sc.setPace(f, pace)
 		}
--- a/shard/harness_test.go
+++ b/shard/harness_test.go
@@ -11,7 +11,7 @@
 
 // harness drives a Scheduler as an owner does, with a store that never fails.
 type harness struct {
-	*testing.T
+	testing.TB
 	scheduler *shard.Scheduler
 	now       time.Time
 	tokens    map[string]int64
@@ -24,8 +24,8 @@
 
 var limits = shard.Limits{Lease: 5 * time.Second, MaxLease: 6 * time.Second, Retention: time.Minute}
 
-func newHarness(t *testing.T) *harness {
-	h := &harness{T: t, now: time.Unix(1000, 0), tokens: map[string]int64{}, jobs: map[string][]byte{}, state: map[string][]byte{}, limit: limits}
+func newHarness(t testing.TB) *harness {
+	h := &harness{TB: t, now: time.Unix(1000, 0), tokens: map[string]int64{}, jobs: map[string][]byte{}, state: map[string][]byte{}, limit: limits}
 	h.scheduler = shard.NewScheduler(limits, func(shard.Event) {})
 	h.setRules()
 	return h
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -12,6 +12,10 @@
 	*worker
 	allocation
 	mayBeDisturbed bool
+	// groupLoads and headrooms are computed when they are first needed; see
+	// headroom.
+	groupLoads []groupLoad
+	headrooms  []*fillHeadroom
 }
 
 // servingCPUShare is the assumed CPU use of serving tasks, as a share of their
@@ -56,21 +60,32 @@
 func (sc *Scheduler) bestPlacement(t *task, pool []*candidate, now time.Time) (placement, bool) {
 	var best placement
 	var bestScore float64
+	minPace := t.step.minPace(now)
+	requirement := t.step.requirement(minPace)
+	if sc.hasShortage(requirement) {
+		return best, false
+	}
 	for _, w := range pool {
 		if !sc.canAccept(w, t, now) {
 			continue
 		}
-		pace, score := 100, w.score(t)
+		pace, score := 100, 0.0
 		if t.step.Fills {
-			if pace = sc.startPace(w, t.step, now); pace == 0 {
+			if pace = sc.startPace(w, t.step, minPace); pace == 0 {
 				continue
 			}
+		}
+		score = w.score(t)
+		if t.step.Fills {
 			score -= pressureWeight*sc.pressure(w, t.step, pace) + slowPaceWeight*float64(100-pace)/100
 		}
 		if best.candidate == nil || score > bestScore {
 			best, bestScore = placement{w, pace}, score
 		}
 	}
+	if best.candidate == nil {
+		sc.recordShortage(t.step, requirement)
+	}
 	return best, best.candidate != nil
 }
 
@@ -81,17 +96,28 @@
 	return w.info.Service == s.job.policy.Service && w.fits(s) && w.allowsStep(s) && s.mayStartOn(w.worker, now) && (!s.Fills || !w.mayBeDisturbed && !now.Before(w.noFillsUntil))
 }
 
-// startPace returns the pace, in percent, at which a fill of a step may start
-// on a worker, or 0 if it has to wait. A fill starts at full pace. Past its
-// objective it accepts any pace from minLatePace, and after
-// maxWaitPastObjective it starts at minLatePace even where the model predicts
-// interference.
-func (sc *Scheduler) startPace(w *candidate, s *step, now time.Time) int {
-	pace := sc.sustainablePace(w, s)
+// minPace returns the lowest pace, in percent, that a fill of the step accepts.
+// It starts at full pace. Past its objective it accepts any pace from
+// minLatePace, and after maxWaitPastObjective it starts at minLatePace even
+// where the model predicts interference, for which minPace is 0.
+func (s *step) minPace(now time.Time) int {
 	switch {
 	case s.isLate(now.Add(-maxWaitPastObjective)):
+		return 0
+	case s.isLate(now):
+		return minLatePace
+	}
+	return minStartPace
+}
+
+// startPace returns the pace, in percent, at which a fill of a step starts on a
+// worker, or 0 if it has to wait. minPace is that of the step.
+func (sc *Scheduler) startPace(w *candidate, s *step, minPace int) int {
+	pace := sc.sustainablePace(w, s)
+	switch {
+	case minPace == 0:
 		return max(pace, minLatePace)
-	case s.isLate(now) && pace >= minLatePace, pace >= minStartPace:
+	case pace >= minPace:
 		return pace
 	}
 	return 0
@@ -132,9 +158,9 @@
 		// Serving tasks of one image are packed together, so that a fill that
 		// disturbs only some images finds workers without those.
 		var same int64
-		for group, milli := range w.cpuByServingGroup {
-			if group.Image == s.Image {
-				same += milli
+		for _, g := range w.serving {
+			if g.group.Image == s.Image {
+				same += g.milli
 			}
 		}
 		score += 2*float64(same)/totalCPU - float64(w.servingCPU-same)/totalCPU - 0.5*float64(w.fillCPU)/totalCPU
@@ -145,9 +171,3 @@
 	}
 	return score
 }
-
-// allocate adds a task of a step to the worker's allocation.
-func (p placement) allocate(s *step) { p.addTasks(s, p.pace, 1) }
-
-// release removes a task of a step from the worker's allocation.
-func (p placement) release(s *step) { p.addTasks(s, p.pace, -1) }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -20,7 +20,8 @@
 	}
 	slices.SortFunc(queue, compareSteps)
 	pool := sc.candidates(now)
-	sc.stepsAwaitingAdvice = nil
+	sc.pool, sc.poolAt = pool, now
+	sc.stepsAwaitingAdvice, sc.shortages = nil, nil
 	for _, q := range queue {
 		if !sc.placeStep(q.step, pool, now) && q.job.policy.Advised {
 			sc.stepsAwaitingAdvice = append(sc.stepsAwaitingAdvice, q.step)
@@ -141,9 +142,10 @@
 		p, ok := sc.bestPlacement(t, pool, now)
 		if !ok {
 			for i, p := range claimed {
-				p.release(s)
+				p.release(sc, s)
 				sc.unclaimRun(s.tasks[i])
 			}
+			sc.shortages = nil
 			return false
 		}
 		t.checkpoint = checkpoint
@@ -159,7 +161,7 @@
 	t.lastRun = number
 	t.runs = append(t.runs, r)
 	p.runs[r] = true
-	p.allocate(t.step)
+	p.allocate(sc, t.step)
 	sc.claimedRuns = append(sc.claimedRuns, r)
 	sc.markChanged(t.step.job)
 	sc.onEvent(Event{Name: "run claimed", Task: t.ref().String(), Run: number, Node: p.node, Reason: t.step.Image})
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -45,7 +45,14 @@
 	// requests.
 	stepsAwaitingAdvice []*step
 	adviceInFlight      int
-	interference        interf.Model
+	// shortages are the requirements without room in the current Plan. scanAll
+	// has Plan try all workers regardless; tests compare the results.
+	shortages []shortage
+	scanAll   bool
+	// pool holds the candidates of the last Plan, at poolAt.
+	pool         []*candidate
+	poolAt       time.Time
+	interference interf.Model
 	// storedModel is the last stored form of interference, and modelCheckedAt
 	// the last time at which PrepareCommit compared the two.
 	storedModel    []byte
--- a/shard/slack.go
+++ b/shard/slack.go
@@ -49,33 +49,8 @@
 // from tasks of a serving image.
 func (sc *Scheduler) allocatedFillCost(w *candidate, image string) float64 {
 	var sum float64
-	for fill, milli := range w.cpuByFillImage {
-		sum += sc.interference.Cost(image, interf.FillUsage{Image: fill, CPUFraction: w.cpuFraction(milli)})
+	for _, f := range w.fills {
+		sum += sc.interference.Cost(image, interf.FillUsage{Image: f.image, CPUFraction: w.cpuFraction(f.milli)})
 	}
 	return sum
 }
-
-// sustainablePace returns the pace, in percent and in steps of 10, at which a
-// fill of a step can run beside the tasks allocated on a worker without
-// exceeding the slack budget of any serving task.
-func (sc *Scheduler) sustainablePace(w *candidate, s *step) int {
-	pace := 1.0
-	for group := range w.cpuByServingGroup {
-		cost := sc.interference.Cost(group.Image, interf.FillUsage{Image: s.Image, CPUFraction: w.cpuFraction(s.Size.CPUMilli)})
-		if cost > 0 {
-			pace = min(pace, (sc.slackBudget(group)-sc.allocatedFillCost(w, group.Image))/cost)
-		}
-	}
-	return max(int(pace*10), 0) * 10
-}
-
-// pressure returns the highest used share of a slack budget among the serving
-// tasks of a worker, if a fill of a step is added at the given pace.
-func (sc *Scheduler) pressure(w *candidate, s *step, pace int) float64 {
-	var highest float64
-	for group := range w.cpuByServingGroup {
-		cost := sc.interference.Cost(group.Image, interf.FillUsage{Image: s.Image, CPUFraction: w.cpuFraction(s.fillCPU(pace))})
-		highest = max(highest, (cost+sc.allocatedFillCost(w, group.Image))/sc.slackBudget(group))
-	}
-	return highest
-}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -50,22 +50,59 @@
 	servingCPU int64
 	// fillCPU is the sum of the processors that fills request.
 	fillCPU int64
-	// cpuByServingGroup and cpuByFillImage split servingCPU and fillCPU.
-	cpuByServingGroup map[interf.ServingGroup]int64
-	cpuByFillImage    map[string]int64
+	// serving and fills split servingCPU and fillCPU. A worker holds few of
+	// each, so they are searched linearly.
+	serving []groupCPU
+	fills   []imageCPU
+}
+
+// groupCPU is the CPU of a serving group on a worker, in thousandths of a
+// processor.
+type groupCPU struct {
+	group interf.ServingGroup
+	milli int64
+}
+
+// imageCPU is the CPU of the fills of an image on a worker, in thousandths of a
+// processor.
+type imageCPU struct {
+	image string
+	milli int64
+}
+
+// addServing adds CPU to a serving group. A group without CPU is removed.
+func (a *allocation) addServing(g interf.ServingGroup, milli int64) {
+	for i := range a.serving {
+		if a.serving[i].group == g {
+			if a.serving[i].milli += milli; a.serving[i].milli == 0 {
+				a.serving = slices.Delete(a.serving, i, i+1)
+			}
+			return
+		}
+	}
+	a.serving = append(a.serving, groupCPU{g, milli})
+}
+
+// addFill adds CPU to the fills of an image.
+func (a *allocation) addFill(image string, milli int64) {
+	for i := range a.fills {
+		if a.fills[i].image == image {
+			a.fills[i].milli += milli
+			return
+		}
+	}
+	a.fills = append(a.fills, imageCPU{image, milli})
 }
 
 // allocation sums up the runs on a worker. A serving task that exceeds its
 // target without fills counts with its size but does not limit fills.
 func (w *worker) allocation(now time.Time) allocation {
-	a := allocation{cpuByServingGroup: map[interf.ServingGroup]int64{}, cpuByFillImage: map[string]int64{}}
+	var a allocation
 	for r := range w.runs {
 		s := r.task.step
 		a.addTasks(s, r.pace, 1)
 		if s.Standing && !s.Fills && w.isSlowWithoutFills(r, now) {
-			if a.cpuByServingGroup[s.servingGroup()] -= s.Size.CPUMilli; a.cpuByServingGroup[s.servingGroup()] == 0 {
-				delete(a.cpuByServingGroup, s.servingGroup())
-			}
+			a.addServing(s.servingGroup(), -s.Size.CPUMilli)
 		}
 	}
 	return a
@@ -78,13 +115,13 @@
 	if s.Fills {
 		milli := n * s.fillCPU(pace)
 		a.fillCPU += milli
-		a.cpuByFillImage[s.Image] += milli
+		a.addFill(s.Image, milli)
 		return
 	}
 	a.reserved.CPUMilli += n * s.Size.CPUMilli
 	if s.Standing {
 		a.servingCPU += n * s.Size.CPUMilli
-		a.cpuByServingGroup[s.servingGroup()] += n * s.Size.CPUMilli
+		a.addServing(s.servingGroup(), n*s.Size.CPUMilli)
 	}
 }
 
