Submissions go to the store in groups, and are refused at once while it is silent

With 66 ms an append the store's partition carries out 15 a second; 6 submissions a second became up to 18 appends each, the queue at the store passed its limit, and connections ran out. While the store was silent, submissions were held until their callers gave up.

Change: entry/intake. Records that arrive while an append is in flight go with the next one. An append is repeated on another connection when its answer is late, with delays that double, at most three in flight. The entry's calls to the store show whether it answers: without any answer for 0.7 s, and six calls unanswered, records that were not sent are refused at once; the first answer opens again. What was sent is never called refused. A record that this entry can't store is sent through one other entry before it is refused. An entry that alone does not reach the store tells the balancer that it is not ready. A hedged call whose tries were all refused counts as refused.

Tests: TestSlowStoreIsNotFloodedByRepeats (steady submissions, 70 ms an append), TestSilentStoreRefusesWhatWasNotSent, TestRecordBehindASilentAppend..., TestDoorDoesNotSwing (half of the answers lost; late and out of order).

--- /dev/null
+++ b/entry/intake/door.go
@@ -0,0 +1,97 @@
+package intake
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// silenceLimit is how long no call to the store may be answered until
+	// records are refused. Memberships are renewed several times in that time,
+	// so there are calls to be answered even without callers.
+	silenceLimit = 700 * time.Millisecond
+	// minUnanswered is how many calls in a row must be without an answer. A
+	// store that loses half of its answers reaches that rarely.
+	minUnanswered = 6
+	// silenceFactor is how many times the mean duration of a call the silence
+	// must last, since a slow store does answer. maxSilenceLimit bounds it.
+	silenceFactor   = 4
+	maxSilenceLimit = 1500 * time.Millisecond
+)
+
+// Door tells whether the store answers. It closes when calls were sent and none
+// has been answered for silenceLimit, and opens with the next answer, whatever
+// call it belongs to. The zero value is open.
+type Door struct {
+	mu sync.Mutex
+	// pending is the number of calls in flight.
+	pending int
+	// waitingSince is when the first call after the last answer was sent; zero
+	// if there is none.
+	waitingSince time.Time
+	// unanswered counts the calls sent after the last answer.
+	unanswered int
+	// mean is the moving mean of the duration of answered calls.
+	mean   time.Duration
+	closed bool
+	// onChange is called after each change, with the time without an answer.
+	onChange func(closed bool, silent time.Duration)
+}
+
+// Sent records that a call was sent.
+func (d *Door) Sent(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pending++
+	d.unanswered++
+	if d.waitingSince.IsZero() {
+		d.waitingSince = now
+	}
+}
+
+// Answered records an answer of the store to a call that was not recorded.
+func (d *Door) Answered(now time.Time) {
+	d.mu.Lock()
+	mean := d.mean
+	d.pending++
+	d.mu.Unlock()
+	d.Ended(true, mean, now)
+}
+
+// Ended records the end of a call, whether the store answered it, and how long
+// it took.
+func (d *Door) Ended(answered bool, took time.Duration, now time.Time) {
+	d.mu.Lock()
+	d.pending--
+	opened, silent := answered && d.closed, now.Sub(d.waitingSince)
+	if answered {
+		d.mean += time.Duration(newestWeight * float64(took-d.mean))
+		d.closed, d.unanswered, d.waitingSince = false, 0, time.Time{}
+		if d.pending > 0 {
+			d.waitingSince = now
+		}
+	}
+	onChange := d.onChange
+	d.mu.Unlock()
+	if opened && onChange != nil {
+		onChange(false, silent)
+	}
+}
+
+func (d *Door) limit() time.Duration {
+	return min(max(silenceLimit, silenceFactor*d.mean), maxSilenceLimit)
+}
+
+// IsClosed reports whether the store does not answer.
+func (d *Door) IsClosed(now time.Time) bool {
+	d.mu.Lock()
+	silent := now.Sub(d.waitingSince)
+	closing := !d.closed && !d.waitingSince.IsZero() && silent >= d.limit() && d.unanswered >= minUnanswered
+	d.closed = d.closed || closing
+	closed, onChange := d.closed, d.onChange
+	d.mu.Unlock()
+	if closing && onChange != nil {
+		onChange(true, silent)
+	}
+	return closed
+}
--- /dev/null
+++ b/entry/intake/intake_test.go
@@ -0,0 +1,262 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/hedge"
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// fakeStore carries out appends one after another, each in appendTime, and
+// refuses those that would wait for more than maxQueue.
+type fakeStore struct {
+	spar.Store
+	appendTime time.Duration
+	// answer decides about the answer to a call: whether there is one, and after
+	// which further delay.
+	answer func() (bool, time.Duration)
+
+	mu       sync.Mutex
+	freeAt   time.Time
+	appends  int
+	refusals int
+	stored   map[string]time.Time
+}
+
+const maxQueue, callTimeout = 2 * time.Second, 1500 * time.Millisecond
+
+func (f *fakeStore) Append(ctx context.Context, _ string, _ *spar.Producer, records []spar.Record) (int64, error) {
+	f.mu.Lock()
+	now := time.Now()
+	if f.freeAt.Before(now) {
+		f.freeAt = now
+	}
+	wait := f.freeAt.Sub(now)
+	f.appends++
+	if wait > maxQueue {
+		f.refusals++
+		f.mu.Unlock()
+		return 0, errors.Mark(errors.New("busy"), spar.ErrRefused)
+	}
+	f.freeAt = f.freeAt.Add(f.appendTime)
+	for _, r := range records {
+		if f.stored[r.Key].IsZero() {
+			f.stored[r.Key] = now
+		}
+	}
+	f.mu.Unlock()
+	return 0, f.reply(ctx, wait+f.appendTime)
+}
+
+func (f *fakeStore) Join(ctx context.Context, _ spar.Member) (spar.Membership, error) {
+	return spar.Membership{}, f.reply(ctx, f.appendTime)
+}
+
+// reply answers after a time, or times out.
+func (f *fakeStore) reply(_ context.Context, after time.Duration) error {
+	ok, delay := true, time.Duration(0)
+	f.mu.Lock()
+	if f.answer != nil {
+		ok, delay = f.answer()
+	}
+	f.mu.Unlock()
+	if after += delay; !ok || after > callTimeout {
+		time.Sleep(callTimeout)
+		return errors.Mark(errors.New("timeout"), spar.ErrUnknown)
+	}
+	time.Sleep(after)
+	return nil
+}
+
+func newFakeStore(appendTime time.Duration) *fakeStore {
+	return &fakeStore{appendTime: appendTime, stored: map[string]time.Time{}}
+}
+
+func quiet() common.Common {
+	return common.Common{Logger: log.NewNopLogger(), Scope: tally.NoopScope}
+}
+
+// joinUntil renews a membership as an entry does, so that the door sees calls.
+func joinUntil(ctx context.Context, s *Store) {
+	var latency hedge.Latency
+	for ctx.Err() == nil {
+		go hedge.Do(ctx, &latency, func(ctx context.Context, _ int) (spar.Membership, error) { return s.Join(ctx, spar.Member{}) }) //nolint:errcheck // only the answer's time matters
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
+// settle lets the calls in flight time out, so that a test ends without them.
+func settle() { time.Sleep(3 * callTimeout) }
+
+// callers sends n records through the writers in turn, spaced evenly, and waits
+// for all results.
+func callers(ws []*Writer, n int, spacing, patience time.Duration) []error {
+	out := make([]error, n)
+	var done sync.WaitGroup
+	for i := range n {
+		done.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			out[i] = ws[i%len(ws)].Write(ctx, spar.Record{Key: fmt.Sprint(i), Value: []byte{1}})
+		})
+		time.Sleep(spacing)
+	}
+	done.Wait()
+	return out
+}
+
+// Load pattern: steady submissions through three entries while the store takes
+// 70 ms for each append. An append for each record, repeated when the answer is
+// late, would need more appends than the store can carry out; the queue at the
+// store would grow until it refuses.
+func TestSlowStoreIsNotFloodedByRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		f := newFakeStore(70 * time.Millisecond)
+		var ws []*Writer
+		for range 3 {
+			ws = append(ws, NewWriter(NewStore(quiet(), f), "jobs"))
+		}
+		began := time.Now()
+		for i, err := range callers(ws, 120, 50*time.Millisecond, 3*time.Second) {
+			if err != nil {
+				t.Errorf("record %d: %v", i, err)
+			}
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.refusals > 0 {
+			t.Errorf("the store refused %d of %d appends", f.refusals, f.appends)
+		}
+		t.Logf("%d appends in %s", f.appends, time.Since(began))
+	})
+}
+
+// The store falls silent. What arrives after silenceLimit is refused at once and
+// never sent; what was sent before is stored when the store is back, and is never
+// called refused.
+func TestSilentStoreRefusesWhatWasNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		f := newFakeStore(2 * time.Millisecond)
+		s := NewStore(quiet(), f)
+		w := NewWriter(s, "jobs")
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go joinUntil(ctx, s)
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		silent := true
+		f.answer = func() (bool, time.Duration) { return !silent, 0 }
+		f.mu.Unlock()
+		early := make(chan error, 1)
+		go func() { early <- w.Write(ctx, spar.Record{Key: "early"}) }()
+		time.Sleep(2 * time.Second)
+		for i := range 20 {
+			began := time.Now()
+			if err := w.Write(ctx, spar.Record{Key: "late"}); !errors.Is(err, spar.ErrRefused) || time.Since(began) > 0 {
+				t.Fatalf("write %d into the silence: %v after %s, want a refusal at once", i, err, time.Since(began))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.mu.Lock()
+		silent = false
+		sent := !f.stored["late"].IsZero()
+		f.mu.Unlock()
+		if sent {
+			t.Fatal("a refused record was sent")
+		}
+		if err := <-early; err != nil {
+			t.Fatalf("record that was sent before the silence: %v", err)
+		}
+		if s.IsSilent() {
+			t.Fatal("the door is closed after an answer")
+		}
+		if err := w.Write(ctx, spar.Record{Key: "after"}); err != nil {
+			t.Fatalf("write after the silence: %v", err)
+		}
+	})
+}
+
+// A record that waits behind an append without an answer was not sent. It is
+// refused as soon as the silence is noticed, long before its caller gives up.
+func TestRecordBehindASilentAppendIsRefusedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		f := newFakeStore(2 * time.Millisecond)
+		f.answer = func() (bool, time.Duration) { return false, 0 }
+		s := NewStore(quiet(), f)
+		w := NewWriter(s, "jobs")
+		w.inFlight = maxInFlight - 1
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		go joinUntil(ctx, s)
+		go w.Write(ctx, spar.Record{Key: "first"}) //nolint:errcheck // its result is unknown
+		time.Sleep(10 * time.Millisecond)
+		began := time.Now()
+		err := w.Write(ctx, spar.Record{Key: "second"})
+		if took := time.Since(began); !errors.Is(err, spar.ErrRefused) || took > silenceLimit+silenceLimit/4 {
+			t.Fatalf("%v after %s, want a refusal within %s", err, took, silenceLimit+silenceLimit/4)
+		}
+	})
+}
+
+// A caller that gives up learns whether its record may have been stored.
+func TestAbandonedRecordIsUnknownOnceSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		f := newFakeStore(2 * time.Millisecond)
+		f.answer = func() (bool, time.Duration) { return false, 0 }
+		w := NewWriter(NewStore(quiet(), f), "jobs")
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		if err := w.Write(ctx, spar.Record{Key: "a"}); !errors.Is(err, spar.ErrUnknown) || errors.Is(err, spar.ErrRefused) {
+			t.Fatalf("%v, want an unknown outcome", err)
+		}
+	})
+}
+
+// A store that answers only a part of the calls, or answers late and out of
+// order, does answer: the door must not swing.
+func TestDoorDoesNotSwing(t *testing.T) {
+	for name, answer := range map[string]func(r *rand.Rand) (bool, time.Duration){
+		"half of the answers lost":    func(r *rand.Rand) (bool, time.Duration) { return r.IntN(2) == 0, 0 },
+		"late and out of order":       func(r *rand.Rand) (bool, time.Duration) { return true, time.Duration(r.IntN(1300)) * time.Millisecond },
+		"late, and a third is lost":   func(r *rand.Rand) (bool, time.Duration) { return r.IntN(3) > 0, time.Duration(r.IntN(600)) * time.Millisecond },
+		"nothing for the whole time":  func(*rand.Rand) (bool, time.Duration) { return false, 0 },
+		"all answers within the time": func(*rand.Rand) (bool, time.Duration) { return true, 5 * time.Millisecond },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var changes atomic.Int64
+			for seed := range uint64(10) {
+				synctest.Test(t, func(t *testing.T) {
+					defer settle()
+					r := rand.New(rand.NewPCG(seed, 3))
+					f := newFakeStore(2 * time.Millisecond)
+					f.answer = func() (bool, time.Duration) { return answer(r) }
+					s := NewStore(quiet(), f)
+					s.door.onChange = func(bool, time.Duration) { changes.Add(1) }
+					ctx, cancel := context.WithCancel(context.Background())
+					go joinUntil(ctx, s)
+					callers([]*Writer{NewWriter(s, "jobs")}, 100, 100*time.Millisecond, 3*time.Second)
+					cancel()
+				})
+			}
+			// Ten runs of ten seconds: a change each at most, on average.
+			if n := changes.Load(); n > 10 {
+				t.Errorf("the door changed %d times in 10 runs of 10 s", n)
+			}
+		})
+	}
+}
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -42,6 +42,9 @@
 	State(ctx context.Context, id string) (shard.State, bool, error)
 	// Waiting returns the length of a queue.
 	Waiting(ctx context.Context, queue string) (int, error)
+	// IsCutOffAlone reports whether the store does not answer this entry while
+	// it answers another one.
+	IsCutOffAlone() bool
 }
 
 const (
@@ -104,7 +107,7 @@
 func (s *Server) Drain() { s.draining.Store(true) }
 
 func (s *Server) ready() bool {
-	return !s.draining.Load() && s.config.Load().Rules != nil && time.Since(s.config.FreshAt()) < maxConfigAge
+	return !s.draining.Load() && s.config.Load().Rules != nil && time.Since(s.config.FreshAt()) < maxConfigAge && !s.jobs.IsCutOffAlone()
 }
 
 func (s *Server) handle(ctx context.Context, c *fasthttp.RequestCtx) {
--- a/entry/owner/candidate.go
+++ b/entry/owner/candidate.go
@@ -10,6 +10,7 @@
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/entry/config"
+	"github.com/berylspar/spar/entry/intake"
 	"github.com/berylspar/spar/hedge"
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/track"
@@ -34,7 +35,9 @@
 type Candidate struct {
 	common.Common
 	settings Settings
-	store    spar.Store
+	store    *intake.Store
+	// jobs writes the records of callers.
+	jobs *intake.Writer
 	// adviser is nil if no queue requires advice.
 	adviser spar.Adviser
 	config  *config.Watcher
@@ -60,7 +63,8 @@
 // NewCandidate returns a candidate. Agents connect to the listener. The adviser
 // may be nil.
 func NewCandidate(c common.Common, s Settings, st spar.Store, ad spar.Adviser, w *config.Watcher, member string, self link.EntryRecord, agents net.Listener, clock func() time.Duration) *Candidate {
-	return &Candidate{Common: c, settings: s, store: st, adviser: ad, config: w, member: member, self: self, agentListener: agents, clock: clock}
+	store := intake.NewStore(c, st)
+	return &Candidate{Common: c, settings: s, store: store, jobs: intake.NewWriter(store, JobsTopic), adviser: ad, config: w, member: member, self: self, agentListener: agents, clock: clock}
 }
 
 // Run takes part in the election until the context ends. It then leaves the
--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/berylspar/spar/common"
@@ -36,6 +37,9 @@
 	directory    *track.Directory
 	http         *fasthttp.Client
 	writeLatency hedge.Latency
+	// relayedAt is when another entry last stored a record for this one, in Unix
+	// nanoseconds.
+	relayedAt atomic.Int64
 }
 
 // NewClient returns a client in the process of a candidate.
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/url"
 	"strings"
 	"time"
@@ -18,13 +19,17 @@
 // relayTimeout bounds how long an entry tries to store a record for another.
 const relayTimeout = 1200 * time.Millisecond
 
+// relayMemory is how long a record that another entry stored shows that entries
+// reach the store.
+const relayMemory = 3 * time.Second
+
 // publishTimeout bounds how long publishing the address delays the next join.
 const publishTimeout = 300 * time.Millisecond
 
 // Submissions and cancels are written to the store, so that they work while there
-// is no owner. Storing a record twice has no further effect, so when an answer is
-// late the record is also sent through another entry, which may reach the store
-// when this one does not.
+// is no owner. Storing a record twice has no further effect, so when this entry is
+// refused or its answer is late, the record is also sent through another entry,
+// which may reach the store when this one does not.
 
 // Submit stores a submission.
 func (c *Client) Submit(ctx context.Context, j spar.Job) error {
@@ -36,16 +41,44 @@
 	return c.write(ctx, spar.Record{Key: CancelPrefix + id, Value: []byte{1}})
 }
 
+// write stores a record. It is refused only if neither this entry nor another one
+// can have stored it.
 func (c *Client) write(ctx context.Context, r spar.Record) error {
 	_, err := hedge.Do(ctx, &c.writeLatency, func(ctx context.Context, try int) (int64, error) {
-		if peer := c.randomPeer(); try > 0 && peer != "" {
-			return 0, c.relay(ctx, peer, r)
+		if try == 0 {
+			return 0, c.candidate.jobs.Write(ctx, r)
 		}
-		return c.candidate.store.Append(ctx, JobsTopic, nil, []spar.Record{r})
+		return 0, c.relayToPeer(ctx, r)
 	})
+	if !errors.Is(err, spar.ErrRefused) || ctx.Err() != nil {
+		return err
+	}
+	if relayed := c.relayToPeer(ctx, r); !errors.Is(relayed, spar.ErrRefused) {
+		return relayed
+	}
+	return err
+}
+
+// relayToPeer stores a record through another entry. It is refused if none is
+// known.
+func (c *Client) relayToPeer(ctx context.Context, r spar.Record) error {
+	peer := c.randomPeer()
+	if peer == "" {
+		return errors.Mark(errors.New("no other entry is known"), spar.ErrRefused)
+	}
+	err := c.relay(ctx, peer, r)
+	if err == nil {
+		c.relayedAt.Store(time.Now().UnixNano())
+	}
 	return err
 }
 
+// IsCutOffAlone reports whether the store does not answer this entry, while
+// another one stores its records.
+func (c *Client) IsCutOffAlone() bool {
+	return c.candidate.store.IsSilent() && time.Since(time.Unix(0, c.relayedAt.Load())) < relayMemory
+}
+
 // randomPeer returns the address of another entry, or "" if none is known.
 func (c *Client) randomPeer() string {
 	var others []string
@@ -63,7 +96,11 @@
 // relay stores a record through another entry.
 func (c *Client) relay(ctx context.Context, peer string, r spar.Record) error {
 	code, _, err := c.callPeer(fasthttp.MethodPost, peer, "/records?key="+url.QueryEscape(r.Key), r.Value, capToDeadline(ctx, relayTimeout))
-	if err != nil {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return errors.Mark(err, spar.ErrRefused)
+	case err != nil:
 		return errors.Mark(err, spar.ErrUnknown)
 	}
 	switch code {
@@ -86,10 +123,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
-	// A repeated append may still run after the request has been answered, when
-	// its body is reused.
+	// An append may still run after the request has been answered, when its body
+	// is reused.
 	value := append([]byte(nil), rc.PostBody()...)
-	err := c.write(ctx, JobsTopic, nil, []spar.Record{{Key: key, Value: value}})
+	err := c.jobs.Write(ctx, spar.Record{Key: key, Value: value})
 	switch {
 	case err == nil:
 	case errors.Is(err, spar.ErrRefused):
--- a/errors.go
+++ b/errors.go
@@ -15,6 +15,9 @@
 var (
 	// ErrRefused means that the call had no effect.
 	ErrRefused = errors.New("refused, nothing was done")
+	// ErrNotSent means that no connection could be made. It comes together with
+	// ErrRefused.
+	ErrNotSent = errors.New("not sent")
 	// ErrUnknown means that no usable answer was received. The call may have
 	// been carried out already, or may be carried out later.
 	ErrUnknown = errors.New("no answer, outcome unknown")
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -53,8 +53,8 @@
 
 // Do makes a call and repeats it while the answer is late; try counts from 0. It
 // returns the first success, or the first error that is neither spar.ErrRefused
-// nor spar.ErrUnknown. It returns spar.ErrRefused only if a single call was made:
-// if another one may have been carried out, a refusal becomes spar.ErrUnknown.
+// nor spar.ErrUnknown. It returns spar.ErrRefused only if every call that was made
+// was refused: if one may have been carried out, a refusal becomes spar.ErrUnknown.
 // Calls that are still in flight when Do returns go on until their own deadlines.
 func Do[T any](ctx context.Context, latency *Latency, call func(ctx context.Context, try int) (T, error)) (T, error) {
 	results := make(chan result[T], maxCalls)
@@ -64,7 +64,7 @@
 		results <- result[T]{v, err, time.Since(begun)}
 	}
 	go launch(0)
-	started, inFlight, delay := 1, 1, latency.hedgeDelay()
+	started, inFlight, delay, unsure := 1, 1, latency.hedgeDelay(), false
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	var zero T
@@ -81,13 +81,14 @@
 			}
 		case r := <-results:
 			inFlight--
+			unsure = unsure || errors.Is(r.err, spar.ErrUnknown)
 			switch {
 			case r.err == nil:
 				latency.record(r.duration)
 				return r.value, nil
 			case !errors.Is(r.err, spar.ErrRefused) && !errors.Is(r.err, spar.ErrUnknown):
 				return zero, r.err
-			case inFlight == 0 && started == 1:
+			case inFlight == 0 && !unsure:
 				return zero, r.err
 			case inFlight == 0:
 				return zero, errors.Mark(errors.Newf("no success after %d calls, last error: %v", started, r.err), spar.ErrUnknown)
