Each topic has a door: a silent partition refuses at once as well

Change: the writer of a topic has a door of its own that counts its appends. Records that were not sent are held back after two appends without an answer and refused when the door closes; while callers come, an empty append probes whether the partition is back.

--- a/entry/intake/door.go
+++ b/entry/intake/door.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+// doorLimits are the limits at which a door closes.
+type doorLimits struct {
+	// silence is how long no call may be answered.
+	silence time.Duration
+	// unanswered is how many calls in a row must be without an answer.
+	unanswered int
+}
+
 const (
 	// silenceLimit is how long no call to the store may be answered until
 	// records are refused. Memberships are renewed several times in that time,
@@ -13,6 +21,11 @@
 	// minUnanswered is how many calls in a row must be without an answer. A
 	// store that loses half of its answers reaches that rarely.
 	minUnanswered = 6
+	// topicSilenceLimit and minTopicUnanswered are the same for the appends to
+	// one topic, whose partition may be silent alone. They are fewer than all
+	// calls, and only some of them have a connection of their own.
+	topicSilenceLimit  = 1200 * time.Millisecond
+	minTopicUnanswered = 7
 	// silenceFactor is how many times the mean duration of a call the silence
 	// must last, since a slow store does answer. maxSilenceLimit bounds it.
 	silenceFactor   = 4
@@ -21,9 +34,10 @@
 
 // Door tells whether the store answers. It closes when calls were sent and none
 // has been answered for silenceLimit, and opens with the next answer, whatever
-// call it belongs to. The zero value is open.
+// call it belongs to.
 type Door struct {
-	mu sync.Mutex
+	limits doorLimits
+	mu     sync.Mutex
 	// pending is the number of calls in flight.
 	pending int
 	// waitingSince is when the first call after the last answer was sent; zero
@@ -79,14 +93,14 @@
 }
 
 func (d *Door) limit() time.Duration {
-	return min(max(silenceLimit, silenceFactor*d.mean), maxSilenceLimit)
+	return min(max(d.limits.silence, silenceFactor*d.mean), maxSilenceLimit)
 }
 
 // IsClosed reports whether the store does not answer.
 func (d *Door) IsClosed(now time.Time) bool {
 	d.mu.Lock()
 	silent := now.Sub(d.waitingSince)
-	closing := !d.closed && !d.waitingSince.IsZero() && silent >= d.limit() && d.unanswered >= minUnanswered
+	closing := !d.closed && !d.waitingSince.IsZero() && silent >= d.limit() && d.unanswered >= d.limits.unanswered
 	d.closed = d.closed || closing
 	closed, onChange := d.closed, d.onChange
 	d.mu.Unlock()
--- a/entry/intake/store.go
+++ b/entry/intake/store.go
@@ -13,22 +13,26 @@
 // answers.
 type Store struct {
 	spar.Store
+	common.Common
 	door Door
 }
 
 // NewStore returns a store that logs and counts when the door changes.
 func NewStore(c common.Common, s spar.Store) *Store {
-	out := &Store{Store: s}
-	out.door.onChange = func(closed bool, silent time.Duration) {
+	return &Store{Store: s, Common: c, door: Door{limits: doorLimits{silenceLimit, minUnanswered}, onChange: logChange(c, "all")}}
+}
+
+// logChange returns a function that logs and counts the changes of a door.
+func logChange(c common.Common, topic string) func(closed bool, silent time.Duration) {
+	return func(closed bool, silent time.Duration) {
 		if closed {
-			c.Warn("store does not answer; new requests are refused", "silent", silent)
+			c.Warn("store does not answer; new requests are refused", "topic", topic, "silent", silent)
 			c.Counter("store_silent").Inc(1)
 			return
 		}
-		c.Info("store answers again", "silent", silent)
+		c.Info("store answers again", "topic", topic, "silent", silent)
 		c.Counter("store_back").Inc(1)
 	}
-	return out
 }
 
 // IsSilent reports whether the store does not answer at the moment.
--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -11,16 +11,26 @@
 
 const (
 	// maxInFlight bounds the appends in flight: one, and those that repeat it on
-	// other connections while its answer is late.
+	// other connections while its answer is late. An append that was sent more
+	// than staleAfter ago does not count any longer.
 	maxInFlight = 3
+	staleAfter  = 500 * time.Millisecond
+	// maxDoubtfulRepeats is the number of appends without a success from which
+	// records that were not sent are held back: if the store turns out to be
+	// silent, they can still be refused.
+	maxDoubtfulRepeats = 2
+	// probeInterval is the interval of empty appends while the topic is silent.
+	// They end when no caller has come for probeDuration.
+	probeInterval = 250 * time.Millisecond
+	probeDuration = 10 * time.Second
 	// minRepeatDelay is the shortest time before an append is repeated beside the
 	// first one. A store answers within a few milliseconds.
 	minRepeatDelay = 80 * time.Millisecond
 	// repeatFactor is how many times the mean duration an answer may take before
 	// the append is repeated.
 	repeatFactor = 4
-	// maxRepeatDelay bounds the time before an append is repeated.
-	maxRepeatDelay = 1200 * time.Millisecond
+	// maxRepeatDelay bounds that time, which doubles with each repeat.
+	maxRepeatDelay = 320 * time.Millisecond
 	// retryPause is the pause after an append without an answer; pauses double up
 	// to maxRetryPause.
 	retryPause, maxRetryPause = 40 * time.Millisecond, 320 * time.Millisecond
@@ -34,11 +44,18 @@
 type Writer struct {
 	store *Store
 	topic string
+	// door tells whether the topic answers.
+	door Door
 
 	mu sync.Mutex
 	// open holds the records without a result, in order of arrival.
-	open     []*item
-	inFlight int
+	open []*item
+	// sentAt holds the times at which the appends in flight were sent.
+	sentAt map[int]time.Time
+	// lastAppend numbers the appends.
+	lastAppend int
+	// calledAt is when a caller last came.
+	calledAt time.Time
 	// mean is the moving mean of the duration of an append.
 	mean time.Duration
 	// repeats counts the repeats since the last success.
@@ -62,18 +79,21 @@
 }
 
 // NewWriter returns a writer for a topic.
-func NewWriter(s *Store, topic string) *Writer { return &Writer{store: s, topic: topic} }
+func NewWriter(s *Store, topic string) *Writer {
+	return &Writer{store: s, topic: topic, sentAt: map[int]time.Time{}, door: Door{limits: doorLimits{topicSilenceLimit, minTopicUnanswered}, onChange: logChange(s.Common, topic)}}
+}
+
+// IsSilent reports whether the store, or the topic alone, does not answer.
+func (w *Writer) IsSilent() bool { return w.store.IsSilent() || w.door.IsClosed(time.Now()) }
 
 // Write stores a record. Without a result until the context ends it fails with
 // spar.ErrUnknown, or with spar.ErrRefused if the record was never sent.
 func (w *Writer) Write(ctx context.Context, r spar.Record) error {
-	if w.store.IsSilent() {
-		return errors.Mark(errors.New("the store does not answer"), spar.ErrRefused)
-	}
 	it := &item{record: r, result: make(chan error, 1)}
 	w.mu.Lock()
+	w.calledAt = time.Now()
 	w.open = append(w.open, it)
-	w.pump(time.Now())
+	w.pump(w.calledAt)
 	w.mu.Unlock()
 	select {
 	case err := <-it.result:
@@ -114,22 +134,39 @@
 	it.result <- err
 }
 
-// pump starts the next append if it is due, and else has the timer call it again.
-// While the store is silent it refuses the records that were not sent.
+// pump starts the next append if it is due, and has the timer call it again while
+// there is something to do. While the topic is silent it refuses the records that
+// were not sent, and an empty append probes whether the topic answers.
 func (w *Writer) pump(now time.Time) {
-	if w.store.IsSilent() {
+	silent := w.IsSilent()
+	if silent {
 		w.refuseUnsent()
 	}
-	if len(w.open) == 0 {
+	probe := silent && w.door.IsClosed(now) && now.Sub(w.calledAt) < probeDuration
+	if len(w.open) == 0 && !probe {
 		return
 	}
-	if w.inFlight < maxInFlight && !now.Before(w.nextAt) {
+	if w.freshInFlight(now) < maxInFlight && !now.Before(w.nextAt) {
 		w.launch(now)
+		if len(w.open) == 0 {
+			w.nextAt = now.Add(probeInterval)
+		}
 	}
 	// The timer also notices that the store has become silent meanwhile.
 	w.schedule(min(max(w.nextAt.Sub(now), time.Millisecond), silenceLimit/4))
 }
 
+// freshInFlight counts the appends in flight that were sent recently.
+func (w *Writer) freshInFlight(now time.Time) int {
+	n := 0
+	for _, at := range w.sentAt {
+		if now.Sub(at) < staleAfter {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *Writer) schedule(d time.Duration) {
 	if w.timer == nil {
 		w.timer = time.AfterFunc(d, func() {
@@ -146,7 +183,7 @@
 func (w *Writer) refuseUnsent() {
 	for _, it := range append([]*item(nil), w.open...) {
 		if !it.sent {
-			w.resolve(it, errors.Mark(errors.New("the store stopped answering before the record was sent"), spar.ErrRefused))
+			w.resolve(it, errors.Mark(errors.New("the store does not answer"), spar.ErrRefused))
 		}
 	}
 }
@@ -156,7 +193,11 @@
 	var batch []*item
 	var records []spar.Record
 	size := 0
+	hold := w.repeats >= maxDoubtfulRepeats && w.hasSent()
 	for _, it := range w.open {
+		if hold && !it.sent {
+			continue
+		}
 		size += len(it.record.Key) + len(it.record.Value)
 		if len(batch) > 0 && size > maxBatchBytes {
 			break
@@ -165,21 +206,35 @@
 		it.inFlight++
 		batch, records = append(batch, it), append(records, it.record)
 	}
-	w.inFlight++
-	delay := min(max(minRepeatDelay, repeatFactor*w.mean)<<min(w.repeats, 4), maxRepeatDelay)
+	w.lastAppend++
+	number := w.lastAppend
+	w.sentAt[number] = now
+	w.door.Sent(now)
+	delay := max(min(minRepeatDelay<<min(w.repeats, 4), maxRepeatDelay), repeatFactor*w.mean)
 	w.repeats++
 	w.nextAt = now.Add(delay)
 	go func() {
 		_, err := w.store.Append(context.Background(), w.topic, nil, records)
-		w.finish(batch, err, time.Since(now))
+		w.finish(number, batch, err, time.Since(now))
 	}()
 }
 
+// hasSent reports whether a record without a result was sent before.
+func (w *Writer) hasSent() bool {
+	for _, it := range w.open {
+		if it.sent {
+			return true
+		}
+	}
+	return false
+}
+
 // finish applies the result of an append to its records.
-func (w *Writer) finish(batch []*item, err error, took time.Duration) {
+func (w *Writer) finish(number int, batch []*item, err error, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.inFlight--
+	delete(w.sentAt, number)
+	w.door.Ended(isAnswer(err), took, time.Now())
 	if err == nil {
 		w.mean += time.Duration(newestWeight * float64(took-w.mean))
 		w.repeats, w.pause, w.nextAt = 0, 0, time.Time{}
