Slack of serving tasks is forecast with a trend

The load of a job swings between 0.23 and 0.68 within 14 s; the estimate of its slack lagged by a second, and fills were slowed down when the target was missed already.

Change: the slack of a serving group is followed with its trend (a Kalman filter with two states); fills are placed by the slack 1.5 s ahead and slowed down by that 0.6 s ahead, not below the lowest recent one.

--- a/interf/model.go
+++ b/interf/model.go
@@ -36,16 +36,6 @@
 // all of a worker's processors would take, and the variance of that estimate.
 type costEstimate struct{ mean, variance float64 }
 
-// slackEstimate is the estimated slack of a serving group without any fills.
-type slackEstimate struct {
-	// mean is the current estimate and variance its variance.
-	mean, variance float64
-	// lowest is the lowest recent mean, reached when the load was highest. It
-	// decays towards mean.
-	lowest    float64
-	updatedAt time.Time
-}
-
 const (
 	// priorCost is the assumed cost of an image pair without observations. With
 	// priorSlack, and a slack of 1.1 left to serving tasks, it admits fills of
@@ -59,22 +49,6 @@
 	// maxCost is the upper bound of a cost estimate. At this cost a fill on a
 	// fifteenth of a worker already takes a slack of 1.
 	maxCost = 15
-	// priorSlack and priorSlackVariance are assumed for a serving group without
-	// observations.
-	priorSlack, priorSlackVariance = 1.9, 1
-	// minSlack and maxSlack bound the estimated slack of a serving group
-	// without fills.
-	minSlack, maxSlack = 0.9, 4
-	// slackVariancePerSecond is the variance that a slack estimate gains per
-	// second, since the load of a job changes.
-	slackVariancePerSecond = 0.2
-	// maxSlackStep bounds the change of a slack estimate by one observation:
-	// all tasks of the group share the estimate, and a single worker may be
-	// slow for reasons of its own.
-	maxSlackStep = 0.25
-	// lowestSlackMemory is how long a phase of high load is remembered. Loads
-	// vary with periods of some seconds.
-	lowestSlackMemory = 20 * time.Second
 	// noiseVariance is the constant part of the variance of an observed slack,
 	// and relativeNoiseStdDev a standard deviation relative to the slack.
 	// Reported tail latencies are rough.
@@ -119,6 +93,16 @@
 	return priorSlack, priorSlack
 }
 
+// Forecast returns the slack that a serving group is expected to have after a
+// time, not below its lowest recent one.
+func (m *Model) Forecast(s ServingGroup, after time.Duration) float64 {
+	e := m.slacks[s]
+	if e == nil {
+		return priorSlack
+	}
+	return e.forecast(after)
+}
+
 // Observe updates the model from the tail latency of a serving task, given as a
 // multiple of its target, and the CPU use of the fills beside it. As in a
 // Kalman filter, the estimates with the highest variance change most.
@@ -138,11 +122,7 @@
 		variance += m.costEstimate(s.Image, f.Image).variance * f.CPUFraction * f.CPUFraction
 	}
 	m.updateCosts(s.Image, fills, residual, variance)
-	gain := e.variance / variance
-	step := min(max(gain*residual, -maxSlackStep), maxSlackStep)
-	e.mean = min(max(e.mean+step, minSlack), maxSlack)
-	e.variance *= 1 - gain
-	e.lowest = min(e.lowest, e.mean)
+	e.correct(residual, variance)
 }
 
 // slackAt returns the slack estimate of a serving group, created if missing.
@@ -157,8 +137,7 @@
 		m.slacks[s] = e
 	}
 	if d := now.Sub(e.updatedAt); d > 0 {
-		e.variance = min(e.variance+slackVariancePerSecond*d.Seconds(), priorSlackVariance)
-		e.lowest += (e.mean - e.lowest) * min(d.Seconds()/lowestSlackMemory.Seconds(), 1)
+		e.advance(d)
 		e.updatedAt = now
 	}
 	return e
--- a/shard/slack.go
+++ b/shard/slack.go
@@ -1,6 +1,20 @@
 package shard
 
-import "github.com/berylspar/spar/interf"
+import (
+	"time"
+
+	"github.com/berylspar/spar/interf"
+)
+
+const (
+	// throttleHorizon is how far ahead the slack of a serving task is forecast
+	// when fills are slowed down: reports are half a second old on average, and
+	// a change of pace takes effect with the next ones.
+	throttleHorizon = 600 * time.Millisecond
+	// placementHorizon is the same when fills are placed, which run for some
+	// seconds.
+	placementHorizon = 1500 * time.Millisecond
+)
 
 // servingGroup returns the serving group of a step in the interference model.
 func (s *step) servingGroup() interf.ServingGroup {
@@ -11,11 +25,10 @@
 // thousandths of a processor.
 func (s *step) fillCPU(pace int) int64 { return s.Size.CPUMilli * int64(pace) / 100 }
 
-// slackWithoutFills returns the estimated slack of a serving task with no fill
-// beside it.
+// slackWithoutFills returns the slack that a serving task with no fill beside it
+// is expected to have after throttleHorizon.
 func (sc *Scheduler) slackWithoutFills(r *run) float64 {
-	current, _ := sc.interference.Slack(r.task.step.servingGroup())
-	return current
+	return sc.interference.Forecast(r.task.step.servingGroup(), throttleHorizon)
 }
 
 // slackWithFills returns the estimated slack of a serving task beside the given
@@ -38,11 +51,11 @@
 }
 
 // slackBudget returns the slack that fills may take from a serving group. It is
-// based on the mean of the current slack and of the one at the highest recent
+// based on the mean of the forecast slack and of the one at the highest recent
 // load.
 func (sc *Scheduler) slackBudget(s interf.ServingGroup) float64 {
-	current, lowest := sc.interference.Slack(s)
-	return max((current+lowest)/2-targetSlack, minSlackBudget)
+	_, lowest := sc.interference.Slack(s)
+	return max((sc.interference.Forecast(s, placementHorizon)+lowest)/2-targetSlack, minSlackBudget)
 }
 
 // allocatedFillCost returns the slack that the fills allocated on a worker take
