Late fills wait for a pace at which they get done

Change: past its objective a fill accepts half pace or more; only a job of which nothing runs starts at 10 % in spite of a predicted interference.

Tests: TestLateFillOfARunningJobWaitsForARealPace and TestFillsSlowDownBeforeARisingLoadMissesItsTarget (load patterns: more fills than the slack admits; a load that rises from report to report).

--- a/shard/colocation.go
+++ b/shard/colocation.go
@@ -40,11 +40,14 @@
 	// leaves no slack.
 	minSlackBudget = 0.1
 	// minStartPace is the lowest pace, in percent, at which fills start, and
-	// minLatePace the one for fills past their objective, which must not wait
-	// forever.
-	minStartPace, minLatePace = 100, 10
-	// maxWaitPastObjective is how long past its objective a fill still waits
-	// for a worker with enough slack.
+	// minLatePace the one for fills past their objective. At a lower one they
+	// would take room and slack for long without getting done.
+	minStartPace, minLatePace = 100, 50
+	// forcedPace is the pace of fills that start in spite of a predicted
+	// interference, since their job must not wait forever.
+	forcedPace = 10
+	// maxWaitPastObjective is how long past its objective a job of which nothing
+	// runs still waits for a worker with enough slack.
 	maxWaitPastObjective = 5 * time.Second
 	// minPaceIncrease is the smallest increase of a pace, in percentage points,
 	// unless it reaches full pace.
@@ -132,7 +135,7 @@
 
 // slowFill reduces the pace of a fill so that a serving task gains the given
 // slack, as far as possible, and returns the slack gained. A fill long past its
-// objective keeps minLatePace.
+// objective keeps forcedPace.
 func (sc *Scheduler) slowFill(r, f *run, gain float64) float64 {
 	cost := sc.slackCost(r, f)
 	if cost <= 0 || f.percent >= nearlyDonePercent {
@@ -140,7 +143,7 @@
 	}
 	oldPace, minPace := f.pace, 0
 	if f.task.step.isLate(sc.now.Add(-maxWaitPastObjective)) {
-		minPace = minLatePace
+		minPace = forcedPace
 	}
 	sc.setPace(f, max(int(float64(oldPace)*(cost-gain)/cost)/10*10, min(oldPace, minPace)))
 	return cost * float64(oldPace-f.pace) / float64(max(oldPace, 1))
--- a/shard/colocation_test.go
+++ b/shard/colocation_test.go
@@ -222,3 +222,63 @@
 	// of an image without observations limits the first placement to 6 fills.
 	h.expectStarts(h.runCycle(), 6)
 }
+
+// Load pattern: the load of a serving task rises from report to report beside
+// fills. They must be slowed down before the target is missed, since a change
+// takes effect only with later reports.
+func TestFillsSlowDownBeforeARisingLoadMissesItsTarget(t *testing.T) {
+	h, s := newServingHarness(t)
+	for range 6 {
+		h.advance(500 * time.Millisecond)
+		h.reportTails("n1", s, 6)
+	}
+	f := h.submitAndStart("f", "plans", fillStep("audit", 1))
+	for range 6 {
+		h.advance(500 * time.Millisecond)
+		h.reportTails("n1", s, 9, f)
+		h.runCycle()
+	}
+	// The target is 18 ms.
+	for _, tail := range []int64{11, 13, 15} {
+		h.advance(500 * time.Millisecond)
+		h.reportTails("n1", s, tail, f)
+		if len(paces(h.runCycle())) > 0 {
+			return
+		}
+	}
+	t.Fatal("no fill was slowed down while the tail rose to 15 ms")
+}
+
+// Load pattern: more fills than the slack admits, with late ones among them. A
+// late fill of a job that runs elsewhere must not start at a crawl beside a
+// serving task that it disturbs: it would take slack for long and not get done.
+func TestLateFillOfARunningJobWaitsForARealPace(t *testing.T) {
+	h, s := newServingHarness(t)
+	f := h.submitAndStart("f", "plans", fillStep("audit", 1))
+	h.reportDisturbance("n1", s, f)
+	h.runCycle()
+	h.report("n1", ended(1, f, spar.EndDone))
+	h.connect("n2")
+	h.submit("g", "plans", fillStep("audit", 5))
+	// Four of the five fit on the worker without serving tasks.
+	m := h.runCycle()
+	for _, o := range starts(m) {
+		if m["n2"] == nil || len(m["n2"].Starts) != len(starts(m)) {
+			t.Fatalf("%v starts beside the serving task that it disturbs", o.Task)
+		}
+	}
+	running := m["n2"].Starts
+	for range 30 {
+		h.advance(500 * time.Millisecond)
+		h.reportTails("n1", s, 13)
+		busy := &link.AgentMessage{}
+		for _, o := range running {
+			busy.Running = append(busy.Running, spar.Running{Task: o.Task, Run: o.Run, Percent: h.fillPercent(), Measurement: 4000})
+		}
+		h.report("n2", busy)
+		h.scheduler.GrantLease("n2", h.tokens["n2"], h.now)
+		if m := h.runCycle(); m["n1"] != nil && len(m["n1"].Starts) > 0 {
+			t.Fatalf("%d fills start beside the serving task that they disturb", len(m["n1"].Starts))
+		}
+	}
+}
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -60,7 +60,7 @@
 func (sc *Scheduler) bestPlacement(t *task, pool []*candidate, now time.Time) (placement, bool) {
 	var best placement
 	var bestScore float64
-	minPace := t.step.minPace(now)
+	minPace := sc.minPace(t.step, now)
 	requirement := t.step.requirement(minPace)
 	if sc.hasShortage(requirement) {
 		return best, false
@@ -96,18 +96,18 @@
 	return w.info.Service == s.job.policy.Service && w.fits(s) && w.allowsStep(s) && s.mayStartOn(w.worker, now) && (!s.Fills || !w.mayBeDisturbed && !now.Before(w.noFillsUntil))
 }
 
-// minPace returns the lowest pace, in percent, that a fill of the step accepts.
-// It starts at full pace. Past its objective it accepts any pace from
-// minLatePace, and after maxWaitPastObjective it starts at minLatePace even
-// where the model predicts interference, for which minPace is 0.
-func (s *step) minPace(now time.Time) int {
+// minPace returns the lowest pace, in percent, at which a fill of the step may
+// start: full pace, and past its objective minLatePace. 0 means that it starts
+// even where the model predicts interference, which holds for a job of which
+// nothing runs long past its objective.
+func (sc *Scheduler) minPace(s *step, now time.Time) int {
 	switch {
-	case s.isLate(now.Add(-maxWaitPastObjective)):
+	case !s.Fills || !s.isLate(now):
+		return minStartPace
+	case s.isLate(now.Add(-maxWaitPastObjective)) && !sc.hasRuns(s.job):
 		return 0
-	case s.isLate(now):
-		return minLatePace
 	}
-	return minStartPace
+	return minLatePace
 }
 
 // startPace returns the pace, in percent, at which a fill of a step starts on a
@@ -116,7 +116,7 @@
 	pace := sc.sustainablePace(w, s)
 	switch {
 	case minPace == 0:
-		return max(pace, minLatePace)
+		return max(pace, forcedPace)
 	case pace >= minPace:
 		return pace
 	}
