No run is given up for a silence or a slow pace; checkpoints are stored

Looked for, from the users' list: a machine that was only silent had its running work given up. It could happen: a run counted as hanging when its percentage had not changed for 1.5 s by the owner's clock. After a pause of the agent or the owner, the first message that carried an outcome or a part of the list stopped all other runs of the worker.

Change: a run's time without progress counts from list to list, at most one second each, by its pace. And a job whose runs report new checkpoints is stored again after a second, so that work is not done twice after a loss of all power.

--- a/shard/commit.go
+++ b/shard/commit.go
@@ -41,6 +41,7 @@
 	for j := range sc.changedJobs {
 		out.Records = append(out.Records, spar.Record{Key: j.ID, Value: j.encode()})
 		out.jobStates[j] = j.state
+		j.storedAt, j.unstoredCheckpoints = sc.now, false
 	}
 	for _, id := range sc.droppedJobs {
 		out.Records = append(out.Records, spar.Record{Key: id})
--- a/shard/job.go
+++ b/shard/job.go
@@ -33,6 +33,10 @@
 	endedAt time.Time
 	// firstSeen is when this owner first saw the job.
 	firstSeen time.Time
+	// storedAt is when a commit last contained the job's progress, and
+	// unstoredCheckpoints reports whether checkpoints changed since then.
+	storedAt            time.Time
+	unstoredCheckpoints bool
 }
 
 // occurrence is one execution of a job's steps. A job that runs once has one, a
@@ -97,8 +101,8 @@
 	pace    int
 	started time.Time
 	percent int
-	// progressedAt is when percent last changed.
-	progressedAt time.Time
+	// idle is the time at work since percent last changed; see countIdleTime.
+	idle time.Duration
 	// measured is the latest reported figure: the tail latency in ms of a
 	// serving task, the CPU use in thousandths of a processor of any other.
 	measured int64
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -157,7 +157,7 @@
 
 // claimRun assigns a new run of a task to a worker.
 func (sc *Scheduler) claimRun(t *task, p placement, number int64, now time.Time) {
-	r := &run{task: t, worker: p.worker, number: number, token: p.token, pace: p.pace, started: now, progressedAt: now}
+	r := &run{task: t, worker: p.worker, number: number, token: p.token, pace: p.pace, started: now}
 	t.lastRun = number
 	t.runs = append(t.runs, r)
 	p.runs[r] = true
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -146,7 +146,7 @@
 			sc.workers[rp.Node] = w
 		}
 		w.info.Life.Born = max(w.info.Life.Born, life.Born)
-		r := &run{task: t, worker: w, number: rp.Number, ordered: true, pace: 100, started: expires, progressedAt: expires}
+		r := &run{task: t, worker: w, number: rp.Number, ordered: true, pace: 100, started: expires}
 		t.runs = append(t.runs, r)
 		w.runs[r] = true
 	}
--- a/shard/report.go
+++ b/shard/report.go
@@ -15,6 +15,10 @@
 		return
 	}
 	sc.now = now
+	// Other messages carry outcomes alone and say nothing about progress.
+	if m.Heartbeat > 0 || len(m.Running) > 0 || m.Complete {
+		w.countIdleTime(now)
+	}
 	for _, r := range m.Running {
 		sc.handleRunning(w, r, now)
 	}
@@ -40,14 +44,23 @@
 	}
 	sc.confirmRun(r, now)
 	if row.Percent != r.percent {
-		r.percent, r.progressedAt = row.Percent, now
+		r.percent, r.idle = row.Percent, 0
 	}
 	r.measured = row.Measurement
-	if row.Checkpoint != "" {
+	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint = row.Checkpoint
+		r.task.step.job.unstoredCheckpoints = true
+	}
+	if j := r.task.step.job; j.unstoredCheckpoints && now.Sub(j.storedAt) >= checkpointStoreInterval {
+		sc.markChanged(j)
 	}
 }
 
+// checkpointStoreInterval is the shortest time between two writes of a job's
+// progress that only bring new checkpoints. Without them, work done since the
+// last other change would be lost when workers and owner go down together.
+const checkpointStoreInterval = time.Second
+
 // adoptRun adds a reported run that is not among the known runs of the worker.
 // A run that had been removed as lost is kept if it is the latest of an
 // unfinished task that has no other run. Any other run is stopped.
@@ -62,7 +75,7 @@
 		sc.pendingStops[&run{task: unknownTask(row.Task), worker: w, number: row.Run}] = true
 		return
 	}
-	r := &run{task: t, worker: w, number: row.Run, ordered: true, token: w.token, pace: 100, started: now, progressedAt: now}
+	r := &run{task: t, worker: w, number: row.Run, ordered: true, token: w.token, pace: 100, started: now}
 	keep := !j.hasEnded() && !t.done && len(t.runs) == 0 && row.Run == t.lastRun
 	t.runs = append(t.runs, r)
 	w.runs[r] = true
@@ -84,7 +97,7 @@
 // confirmRun marks a run as present on its worker.
 func (sc *Scheduler) confirmRun(r *run, now time.Time) {
 	if !r.confirmed {
-		r.confirmed, r.started, r.progressedAt = true, now, now
+		r.confirmed, r.started, r.idle = true, now, 0
 		if r.pace != 100 {
 			// Workers start every run at full speed.
 			sc.pendingPaces[r] = true
--- a/shard/takeover_test.go
+++ b/shard/takeover_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -146,3 +147,27 @@
 		})
 	}
 }
+
+// Workers and owner lose power at the same time. A run that reported checkpoints
+// since the last other change of its job must resume from a recent one.
+func TestRunResumesFromItsCheckpointAfterALossOfAllPower(t *testing.T) {
+	h := newHarness(t)
+	h.connect("n1")
+	f := h.submitAndStart("f", "plans", fillStep("audit", 1))
+	h.report("n1", started(f))
+	h.runCycle()
+	for k := range 6 {
+		h.advance(500 * time.Millisecond)
+		h.report("n1", &link.AgentMessage{Running: []spar.Running{{Task: f.Task, Run: f.Run, Percent: 10 * (k + 1), Checkpoint: fmt.Sprint("c", k), Measurement: 4000}}})
+		h.scheduler.GrantLease("n1", h.tokens["n1"], h.now)
+		h.runCycle()
+	}
+	h.advance(time.Second)
+	h.replaceOwner(10 * time.Second)
+	h.connectLife("n1", spar.Life{ID: "i-n1-again", Born: 2})
+	again := h.expectStarts(h.runCycle(), 1)[0]
+	// A checkpoint of the last second may be missing.
+	if again.Checkpoint != "c3" && again.Checkpoint != "c4" && again.Checkpoint != "c5" {
+		t.Errorf("the run resumes from checkpoint %q, want one of c3 to c5", again.Checkpoint)
+	}
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -30,6 +30,8 @@
 	failureScoreAt time.Time
 	// avoidUntil is the time until which no task is placed on the worker.
 	avoidUntil time.Time
+	// listedAt is when the agent last sent a list of runs, or the changes to it.
+	listedAt time.Time
 	// tailsCheckedAt is when the tail latencies were last checked,
 	// reliefPausedUntil when relieveServingTasks may run again, and
 	// noFillsUntil when fills may be placed again.
