A job without a bound is rejected and cannot take the owner down

Looked for, from the users' list: one malformed message takes a process down. It could happen: a submission with two thousand million tasks, or as many occurrences, was accepted and stored; each owner that read it would run out of memory, one after the other. Sizes and times below zero broke the account of a worker.

--- a/batch.go
+++ b/batch.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Job is a batch job or a standing job as submitted by a caller.
@@ -24,6 +26,58 @@
 	Policy Queue `msgpack:"o"`
 }
 
+// MaxTasks is the largest number of tasks of a job, over all its occurrences. The
+// owner holds each of them in memory, so that a job without a bound could take
+// down one owner after another.
+const MaxTasks = 50_000
+
+// Check returns an error that names the field if a job cannot be planned: it has
+// no task or too many, or a size or time below zero.
+func (j *Job) Check() error {
+	if len(j.Steps) == 0 {
+		return errors.New("steps: none given")
+	}
+	if j.Times < 0 || j.Times > MaxTasks {
+		return errors.Newf("times: %d is not between 0 and %d", j.Times, MaxTasks)
+	}
+	if j.Interval < 0 {
+		return errors.Newf("interval: %s is below 0", j.Interval)
+	}
+	tasks := 0
+	for i, s := range j.Steps {
+		if err := s.check(i); err != nil {
+			return errors.Wrapf(err, "steps[%d]", i)
+		}
+		if tasks += s.Count * max(j.Times, 1); tasks > MaxTasks {
+			return errors.Newf("steps[%d].count: more than %d tasks in all", i, MaxTasks)
+		}
+	}
+	return nil
+}
+
+// check returns an error that names the field if the step with the given index
+// cannot be planned.
+func (s *Step) check(index int) error {
+	if s.Count <= 0 || s.Count > MaxTasks {
+		return errors.Newf("count: %d is not between 1 and %d", s.Count, MaxTasks)
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return errors.Newf("after: %d is not an earlier step", a)
+		}
+	}
+	if s.Size.IsNegative() {
+		return errors.Newf("size: %s is below 0", s.Size)
+	}
+	if s.Estimate < 0 || s.TailTarget < 0 {
+		return errors.Newf("estimate %s or tail target %s: below 0", s.Estimate, s.TailTarget)
+	}
+	if s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
+		return errors.Newf("tasks per worker %d or unavailable tasks %d: below 0", s.MaxPerWorker, s.MaxUnavailable)
+	}
+	return nil
+}
+
 // Step is a set of identical tasks.
 type Step struct {
 	Count int  `msgpack:"n"`
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -161,9 +161,12 @@
 	return out
 }
 
-// DecodeJob reads the stored form of a submitted job.
+// DecodeJob reads the stored form of a submitted job. It rejects a job that an
+// entry should not have accepted, which may come from another build.
 func DecodeJob(value []byte) (spar.Job, error) {
 	var j spar.Job
-	err := msgpack.Unmarshal(value, &j)
-	return j, errors.Wrap(err, "decode submitted job")
+	if err := msgpack.Unmarshal(value, &j); err != nil {
+		return j, errors.Wrap(err, "decode submitted job")
+	}
+	return j, errors.Wrapf(j.Check(), "stored job %s", j.ID)
 }
