--- a/shard/slack.go
+++ b/shard/slack.go
@@ -6,15 +6,9 @@
 	"github.com/berylspar/spar/interf"
 )
 
-const (
-	// throttleHorizon is how far ahead the slack of a serving task is forecast
-	// when fills are slowed down: reports are half a second old on average, and
-	// a change of pace takes effect with the next ones.
-	throttleHorizon = 600 * time.Millisecond
-	// placementHorizon is the same when fills are placed, which run for some
-	// seconds.
-	placementHorizon = 1500 * time.Millisecond
-)
+// placementHorizon is how far ahead the slack of serving tasks is forecast when
+// fills are placed, which run for some seconds.
+const placementHorizon = 1500 * time.Millisecond
 
 // servingGroup returns the serving group of a step in the interference model.
 func (s *step) servingGroup() interf.ServingGroup {
@@ -25,10 +19,11 @@
 // thousandths of a processor.
 func (s *step) fillCPU(pace int) int64 { return s.Size.CPUMilli * int64(pace) / 100 }
 
-// slackWithoutFills returns the slack that a serving task with no fill beside it
-// is expected to have after throttleHorizon.
+// slackWithoutFills returns the estimated slack of a serving task with no fill
+// beside it.
 func (sc *Scheduler) slackWithoutFills(r *run) float64 {
-	return sc.interference.Forecast(r.task.step.servingGroup(), throttleHorizon)
+	current, _ := sc.interference.Slack(r.task.step.servingGroup())
+	return current
 }
 
 // slackWithFills returns the estimated slack of a serving task beside the given
