--- a/entry/intake/door.go
+++ b/entry/intake/door.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// meanDuration returns the moving mean of the duration of answered calls.
+func (d *Door) meanDuration() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mean
+}
+
 func (d *Door) limit() time.Duration {
 	return min(max(d.limits.silence, silenceFactor*d.mean), maxSilenceLimit)
 }
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -23,6 +23,8 @@
 type fakeStore struct {
 	spar.Store
 	appendTime time.Duration
+	// joinTime is how long a join takes.
+	joinTime time.Duration
 	// answer decides about the answer to a call: whether there is one, and after
 	// which further delay.
 	answer func() (bool, time.Duration)
@@ -67,7 +69,10 @@
 }
 
 func (f *fakeStore) Join(ctx context.Context, _ spar.Member) (spar.Membership, error) {
-	return spar.Membership{}, f.reply(ctx, f.appendTime)
+	f.mu.Lock()
+	took := f.joinTime
+	f.mu.Unlock()
+	return spar.Membership{}, f.reply(ctx, took)
 }
 
 // reply answers after a time, or times out.
@@ -156,6 +161,41 @@
 	})
 }
 
+// Load pattern: submissions through ten entries when the store becomes slow. Their
+// first appends are not answered soon, so only the other calls show how slow it
+// is. Repeats of each entry's appends would fill the queue at the store.
+func TestStoreThatBecomesSlowIsNotFloodedByRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		f := newFakeStore(2 * time.Millisecond)
+		f.joinTime = 4 * time.Millisecond
+		var ws []*Writer
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for range 10 {
+			s := NewStore(quiet(), f)
+			ws = append(ws, NewWriter(s, "jobs"))
+			go joinUntil(ctx, s)
+		}
+		callers(ws, 20, 50*time.Millisecond, 3*time.Second)
+		f.mu.Lock()
+		f.appendTime, f.joinTime = 100*time.Millisecond, 200*time.Millisecond
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		failed := 0
+		for _, err := range callers(ws, 100, 60*time.Millisecond, 3*time.Second) {
+			if err != nil {
+				failed++
+			}
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if failed > 0 || f.refusals > 0 {
+			t.Errorf("%d of 100 records not stored, %d of %d appends refused by the store", failed, f.refusals, f.appends)
+		}
+	})
+}
+
 // The store falls silent. What arrives after silenceLimit is refused at once and
 // never sent; what was sent before is stored when the store is back, and is never
 // called refused.
--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -27,7 +27,8 @@
 	// first one. A store answers within a few milliseconds.
 	minRepeatDelay = 80 * time.Millisecond
 	// repeatFactor is how many times the mean duration an answer may take before
-	// the append is repeated.
+	// the append is repeated. The calls of the other kinds count as well: they
+	// show that the store is slow before the first append is answered.
 	repeatFactor = 4
 	// maxRepeatDelay bounds that time, which doubles with each repeat.
 	maxRepeatDelay = 320 * time.Millisecond
@@ -210,7 +211,7 @@
 	number := w.lastAppend
 	w.sentAt[number] = now
 	w.door.Sent(now)
-	delay := max(min(minRepeatDelay<<min(w.repeats, 4), maxRepeatDelay), repeatFactor*w.mean)
+	delay := max(min(minRepeatDelay<<min(w.repeats, 4), maxRepeatDelay), repeatFactor*max(w.mean, w.store.door.meanDuration()))
 	w.repeats++
 	w.nextAt = now.Add(delay)
 	go func() {
--- a/entry/owner/candidate.go
+++ b/entry/owner/candidate.go
@@ -104,13 +104,13 @@
 			}
 			c.endExpiredTerm()
 		default:
-			c.publishAddress(ctx)
 			if failing {
 				failing = false
 				c.Info("joined the owners group again", "generation", membership.Generation)
 			}
 			generation = membership.Generation
 			c.applyMembership(ctx, membership, sent)
+			c.publishAddress(ctx)
 		}
 		track.Pause(ctx, c.settings.join()-min(c.clock()-sent, c.settings.join()*3/4))
 	}
--- a/stand/httpd/httpd_test.go
+++ b/stand/httpd/httpd_test.go
@@ -208,3 +208,26 @@
 		t.Fatalf("took %s", took)
 	}
 }
+
+// The store is slow, and a page of newest records takes longer than a read may
+// take at first. A new owner that repeated the read with the same limit would not
+// take over until the store is fast again.
+func TestNewestIsReadFromASlowStore(t *testing.T) {
+	s := &store.Store{}
+	handler := httpd.StoreHandler(s)
+	p := platform.NewStore(platform.NewClient(), serve(t, func(c *fasthttp.RequestCtx) {
+		if string(c.Path()) == "/log-newest" {
+			time.Sleep(1700 * time.Millisecond)
+		}
+		handler(c)
+	}))
+	if _, err := p.Append(t.Context(), "jobs", nil, records(3)); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		if b, err := p.Newest(t.Context(), "jobs"); err == nil && len(b.Records) == 3 {
+			return
+		}
+	}
+	t.Error("three reads in a row timed out")
+}
