The owner gathers submissions while the store is slow

Cause: with 100 ms an append, ten entries that append each for themselves wait for one another a second and more; appends time out, are repeated, and the store carries out both.

Change: when the calls to the store take more than 60 ms on average, an entry sends its records to the owner, whose append takes all that has gathered; it writes itself only if the owner does not answer. The first late answer on a slow store is not taken for a lost one (hedge.Latency.RaiseTo).

Test: TestOwnerGathersSubmissionsWhileTheStoreIsSlow (load pattern), seen to fail before.

--- a/entry/intake/store.go
+++ b/entry/intake/store.go
@@ -38,6 +38,9 @@
 // IsSilent reports whether the store does not answer at the moment.
 func (s *Store) IsSilent() bool { return s.door.IsClosed(time.Now()) }
 
+// MeanDuration returns the moving mean of how long answered calls take.
+func (s *Store) MeanDuration() time.Duration { return s.door.meanDuration() }
+
 // observe makes a call and records whether the store answered it.
 func observe[T any](s *Store, call func() (T, error)) (T, error) {
 	begun := time.Now()
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -19,6 +19,11 @@
 // relayTimeout bounds how long an entry tries to store a record for another.
 const relayTimeout = 1200 * time.Millisecond
 
+// slowStoreDuration is the mean duration of calls to the store from which the
+// owner gathers the records of all entries. A store answers within a few
+// milliseconds.
+const slowStoreDuration = 60 * time.Millisecond
+
 // relayMemory is how long a record that another entry stored shows that entries
 // reach the store.
 const relayMemory = 3 * time.Second
@@ -44,6 +49,41 @@
 // write stores a record. It is refused only if neither this entry nor another one
 // can have stored it.
 func (c *Client) write(ctx context.Context, r spar.Record) error {
+	unsure := false
+	if owner := c.gatheringOwner(); owner != "" {
+		err := c.relay(ctx, owner, r)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		unsure = errors.Is(err, spar.ErrUnknown)
+	}
+	err := c.writeDirectly(ctx, r)
+	if unsure && errors.Is(err, spar.ErrRefused) {
+		return errors.Mark(errors.Newf("not answered by the owner, and then: %v", err), spar.ErrUnknown)
+	}
+	return err
+}
+
+// gatheringOwner returns the address of the owner if the store is so slow that
+// the owner should append the records of all entries: a partition carries out its
+// appends one after another, and one for each entry would wait for the others.
+// It returns "" if the store is fast, or if no other entry is known to be the
+// owner.
+func (c *Client) gatheringOwner() string {
+	if c.candidate.store.MeanDuration() < slowStoreDuration || c.candidate.currentTerm() != nil {
+		return ""
+	}
+	owner := c.directory.Owner()
+	if owner == nil || owner.PeerAddress == c.candidate.self.PeerAddress {
+		return ""
+	}
+	return owner.PeerAddress
+}
+
+// writeDirectly stores a record through this entry, or through another one when
+// this one is refused or gets no answer in time.
+func (c *Client) writeDirectly(ctx context.Context, r spar.Record) error {
+	c.writeLatency.RaiseTo(c.candidate.store.MeanDuration())
 	_, err := hedge.Do(ctx, &c.writeLatency, func(ctx context.Context, try int) (int64, error) {
 		if try == 0 {
 			return 0, c.candidate.jobs.Write(ctx, r)
@@ -139,6 +179,7 @@
 // write appends to a topic and repeats the append when the answer is late, since
 // appending a record twice has no further effect.
 func (c *Candidate) write(ctx context.Context, topic string, p *spar.Producer, records []spar.Record) error {
+	c.writeLatency.RaiseTo(c.store.MeanDuration())
 	_, err := hedge.Do(ctx, &c.writeLatency, func(ctx context.Context, _ int) (int64, error) {
 		return c.store.Append(ctx, topic, p, records)
 	})
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -38,6 +38,14 @@
 	return max(minDelay, delayFactor*l.mean)
 }
 
+// RaiseTo raises the mean to a duration that calls of another kind to the same
+// callee take, so that the first late answer is not taken for a lost one.
+func (l *Latency) RaiseTo(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mean = max(l.mean, d)
+}
+
 func (l *Latency) record(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/prove/simul/relay_test.go
+++ b/prove/simul/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/berylspar/spar/stand/store"
 	"github.com/berylspar/spar/track"
 	"github.com/fasthttp/router"
+	"github.com/uber-go/tally/v4"
 )
 
 // reachableEntry is an entry that other entries reach over a TCP connection.
@@ -22,6 +24,7 @@
 	client *store.Client
 	asker  *owner.Client
 	place  *track.Directory
+	scope  tally.TestScope
 }
 
 // startReachableEntry starts an entry that uses the simulation's store.
@@ -32,6 +35,8 @@
 	}
 	d := &reachableEntry{client: store.NewClient(s.store, seed)}
 	c := s.common(name)
+	d.scope = tally.NewTestScope("", nil)
+	c.Scope = d.scope
 	watch := config.NewWatcher(c, d.client, topic, s.decodeChange)
 	o := owner.NewCandidate(c, ownerSettings(), d.client, nil, watch, name, link.EntryRecord{AgentAddress: name, PeerAddress: peers.Addr().String()},
 		s.net.listen(name), func() time.Duration { return time.Since(s.startedAt) })
@@ -76,3 +81,40 @@
 		t.Errorf("%d records stored, want 2", n)
 	}
 }
+
+// Load pattern: submissions through several entries while the store is slow. Each
+// append takes its turn at the store, so the owner gathers the records of all
+// entries in its own appends.
+func TestOwnerGathersSubmissionsWhileTheStoreIsSlow(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &simulation{t: t, ctx: ctx, startedAt: time.Now(), store: &store.Store{}, net: newNetwork(), out: io.Discard}
+	entries := []*reachableEntry{startReachableEntry(ctx, t, s, "e1", 1), startReachableEntry(ctx, t, s, "e2", 2)}
+	defer cancel()
+	for begun := time.Now(); entries[0].place.Owner() == nil || entries[1].place.Owner() == nil; time.Sleep(10 * time.Millisecond) {
+		if time.Since(begun) > 10*time.Second {
+			t.Fatal("no owner known after 10 s")
+		}
+	}
+	for _, e := range entries {
+		e.client.SetFaults(store.Faults{Delay: 150 * time.Millisecond})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for i := range 6 {
+		callerCtx, stop := context.WithTimeout(ctx, 2*time.Second)
+		if err := entries[i%2].asker.Submit(callerCtx, spar.Job{ID: string(rune('a' + i)), Queue: queue}); err != nil {
+			t.Fatalf("job %d not stored: %v", i, err)
+		}
+		stop()
+	}
+	var relayed int64
+	for _, e := range entries {
+		for name, c := range e.scope.Snapshot().Counters() {
+			if strings.HasPrefix(name, "relayed") {
+				relayed += c.Value()
+			}
+		}
+	}
+	if relayed != 3 {
+		t.Errorf("%d of the 3 submissions through the other entry were gathered by the owner", relayed)
+	}
+}
