--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -331,7 +331,7 @@
 		t.Run(name, func(t *testing.T) {
 			var changes atomic.Int64
 			for seed := range uint64(10) {
-				synctest.Test(t, func(t *testing.T) {
+				synctest.Test(t, func(*testing.T) {
 					defer settle()
 					r := rand.New(rand.NewPCG(seed, 3))
 					f := newFakeStore(2 * time.Millisecond)
--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -214,6 +214,7 @@
 	delay := max(min(minRepeatDelay<<min(w.repeats, 4), maxRepeatDelay), repeatFactor*max(w.mean, w.store.door.meanDuration()))
 	w.repeats++
 	w.nextAt = now.Add(delay)
+	// The append ends with the store's own deadline, since it serves many callers.
 	go func() {
 		_, err := w.store.Append(context.Background(), w.topic, nil, records)
 		w.finish(number, batch, err, time.Since(now))
@@ -247,6 +248,7 @@
 		it.inFlight--
 		switch {
 		case len(it.result) > 0:
+			// An earlier answer resolved the record.
 		case err == nil:
 			w.resolve(it, nil)
 		case !errors.Is(err, spar.ErrRefused):
--- a/interf/slack_test.go
+++ b/interf/slack_test.go
@@ -26,8 +26,8 @@
 			}
 			current, _ := m.Slack(desk)
 			next := slackAt(k + 3)
-			forecastError += math.Pow(m.Forecast(desk, 1500*time.Millisecond)-next, 2)
-			currentError += math.Pow(current-next, 2)
+			forecastError += square(m.Forecast(desk, 1500*time.Millisecond) - next)
+			currentError += square(current - next)
 		}
 	}
 	if forecastError > 0.6*currentError {
@@ -46,3 +46,5 @@
 		t.Errorf("forecast %.2f, lowest recent slack %.2f", f, lowest)
 	}
 }
+
+func square(x float64) float64 { return x * x }
