On a slow store an entry has one append in flight

The queue reached the 2 s at which the store refuses; every answer let an entry send the next append while its repeats still waited, entries without an answer from the owner wrote for themselves after 1.2 s, and the queue never drained until the store was fast again.

Change: while calls take more than 60 ms on average, an entry has one append in flight for up to 2.5 s; a record is sent to the gathering owner twice before the entry writes it itself, unless the owner refuses it.

Test: TestQueueOfAStoreThatBecomesSlowDrains (load pattern: the store becomes slow from one moment to the next; 100 of 100 records were not stored before).

--- a/entry/intake/store.go
+++ b/entry/intake/store.go
@@ -38,6 +38,13 @@
 // IsSilent reports whether the store does not answer at the moment.
 func (s *Store) IsSilent() bool { return s.door.IsClosed(time.Now()) }
 
+// slowDuration is the mean duration of calls from which the store counts as slow.
+// A store answers within a few milliseconds.
+const slowDuration = 60 * time.Millisecond
+
+// IsSlow reports whether the store answers, but slowly.
+func (s *Store) IsSlow() bool { return s.door.meanDuration() >= slowDuration }
+
 // MeanDuration returns the moving mean of how long answered calls take.
 func (s *Store) MeanDuration() time.Duration { return s.door.meanDuration() }
 
--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -15,6 +15,11 @@
 	// than staleAfter ago does not count any longer.
 	maxInFlight = 3
 	staleAfter  = 500 * time.Millisecond
+	// maxInFlightSlow and staleAfterSlow are the same while the store is slow:
+	// each repeat would wait in the same queue as the append before it, and
+	// lengthen it for all.
+	maxInFlightSlow = 1
+	staleAfterSlow  = 2500 * time.Millisecond
 	// maxDoubtfulRepeats is the number of appends without a success from which
 	// records that were not sent are held back: if the store turns out to be
 	// silent, they can still be refused.
@@ -147,7 +152,7 @@
 	if len(w.open) == 0 && !probe {
 		return
 	}
-	if w.freshInFlight(now) < maxInFlight && !now.Before(w.nextAt) {
+	if w.hasFreeSlot(now) && !now.Before(w.nextAt) {
 		w.launch(now)
 		if len(w.open) == 0 {
 			w.nextAt = now.Add(probeInterval)
@@ -157,15 +162,18 @@
 	w.schedule(min(max(w.nextAt.Sub(now), time.Millisecond), silenceLimit/4))
 }
 
-// freshInFlight counts the appends in flight that were sent recently.
-func (w *Writer) freshInFlight(now time.Time) int {
-	n := 0
+// hasFreeSlot reports whether another append may be in flight.
+func (w *Writer) hasFreeSlot(now time.Time) bool {
+	limit, stale := maxInFlight, staleAfter
+	if w.store.IsSlow() {
+		limit, stale = maxInFlightSlow, staleAfterSlow
+	}
 	for _, at := range w.sentAt {
-		if now.Sub(at) < staleAfter {
-			n++
+		if now.Sub(at) < stale {
+			limit--
 		}
 	}
-	return n
+	return limit > 0
 }
 
 func (w *Writer) schedule(d time.Duration) {
--- a/entry/intake/writer_test.go
+++ b/entry/intake/writer_test.go
@@ -72,6 +72,39 @@
 	})
 }
 
+// Load pattern: the store becomes slow from one moment to the next while ten
+// entries submit. Repeats that wait in the queue of the appends before them would
+// keep the queue at the store at its limit for as long as the store is slow.
+func TestQueueOfAStoreThatBecomesSlowDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		f := newFakeStore(2 * time.Millisecond)
+		f.joinTime = 4 * time.Millisecond
+		var ws []*Writer
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for range 10 {
+			s := NewStore(quiet(), f)
+			ws = append(ws, NewWriter(s, "jobs"))
+			go joinUntil(ctx, s)
+		}
+		callers(ws, 20, 50*time.Millisecond, 3*time.Second)
+		f.mu.Lock()
+		f.appendTime, f.joinTime = 100*time.Millisecond, 200*time.Millisecond
+		f.mu.Unlock()
+		results := callers(ws, 150, 40*time.Millisecond, 3*time.Second)
+		failed := 0
+		for _, err := range results[50:] {
+			if err != nil {
+				failed++
+			}
+		}
+		if failed > 0 {
+			t.Errorf("%d of 100 records were not stored from 2 s after the store became slow", failed)
+		}
+	})
+}
+
 // The store falls silent. What arrives after silenceLimit is refused at once and
 // never sent; what was sent before is stored when the store is back, and is never
 // called refused.
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -19,10 +19,10 @@
 // relayTimeout bounds how long an entry tries to store a record for another.
 const relayTimeout = 1200 * time.Millisecond
 
-// slowStoreDuration is the mean duration of calls to the store from which the
-// owner gathers the records of all entries. A store answers within a few
-// milliseconds.
-const slowStoreDuration = 60 * time.Millisecond
+// maxGatherTries bounds how often a record is sent to an owner that gathers and
+// does not answer. Writing it directly would lengthen the queue at the store that
+// the owner waits in.
+const maxGatherTries = 2
 
 // relayMemory is how long a record that another entry stored shows that entries
 // reach the store.
@@ -50,12 +50,19 @@
 // can have stored it.
 func (c *Client) write(ctx context.Context, r spar.Record) error {
 	unsure := false
-	if owner := c.gatheringOwner(); owner != "" {
+	for range maxGatherTries {
+		owner := c.gatheringOwner()
+		if owner == "" {
+			break
+		}
 		err := c.relay(ctx, owner, r)
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		unsure = errors.Is(err, spar.ErrUnknown)
+		if errors.Is(err, spar.ErrRefused) {
+			break
+		}
+		unsure = true
 	}
 	err := c.writeDirectly(ctx, r)
 	if unsure && errors.Is(err, spar.ErrRefused) {
@@ -70,7 +77,7 @@
 // It returns "" if the store is fast, or if no other entry is known to be the
 // owner.
 func (c *Client) gatheringOwner() string {
-	if c.candidate.store.MeanDuration() < slowStoreDuration || c.candidate.currentTerm() != nil {
+	if !c.candidate.store.IsSlow() || c.candidate.currentTerm() != nil {
 		return ""
 	}
 	owner := c.directory.Owner()
