A record that the owner may have stored is never called refused

Found by reading: where the first try at the gathering owner had no answer, the second was refused and the caller's time ended meanwhile, the record was called refused, though the first try may have stored it.

Test: TestRecordSentToTheOwnerIsRefusedOnlyIfNoTryHadAnEffect (the decision is a function of its own now; the old code had no place to test it, so it was not seen to fail).

--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -49,26 +49,40 @@
 // write stores a record. It is refused only if neither this entry nor another one
 // can have stored it.
 func (c *Client) write(ctx context.Context, r spar.Record) error {
-	unsure := false
+	gathered := sendToOwner(c.gatheringOwner, func(owner string) error { return c.relay(ctx, owner, r) })
+	if gathered == nil || ctx.Err() != nil {
+		return gathered
+	}
+	err := c.writeDirectly(ctx, r)
+	if errors.Is(gathered, spar.ErrUnknown) && errors.Is(err, spar.ErrRefused) {
+		return errors.Mark(errors.Newf("%v, and then: %v", gathered, err), spar.ErrUnknown)
+	}
+	return err
+}
+
+// sendToOwner sends a record to the owner that gathers, if there is one, and
+// again if it does not answer. It is refused only if no try can have had an
+// effect.
+func sendToOwner(gatheringOwner func() string, send func(owner string) error) error {
+	var unanswered error
 	for range maxGatherTries {
-		owner := c.gatheringOwner()
+		owner := gatheringOwner()
 		if owner == "" {
 			break
 		}
-		err := c.relay(ctx, owner, r)
-		if err == nil || ctx.Err() != nil {
-			return err
+		err := send(owner)
+		if err == nil {
+			return nil
 		}
 		if errors.Is(err, spar.ErrRefused) {
 			break
 		}
-		unsure = true
+		unanswered = errors.Mark(errors.Wrapf(err, "owner at %s", owner), spar.ErrUnknown)
 	}
-	err := c.writeDirectly(ctx, r)
-	if unsure && errors.Is(err, spar.ErrRefused) {
-		return errors.Mark(errors.Newf("not answered by the owner, and then: %v", err), spar.ErrUnknown)
+	if unanswered != nil {
+		return unanswered
 	}
-	return err
+	return errors.Mark(errors.New("no owner gathers records"), spar.ErrRefused)
 }
 
 // gatheringOwner returns the address of the owner if the store is so slow that
