--- a/entry/intake/writer_test.go
+++ b/entry/intake/writer_test.go
@@ -37,33 +37,45 @@
 	})
 }
 
+// slowStoreOfTenEntries returns the writers of ten entries that have used a fast
+// store, which has become slow at this moment.
+func slowStoreOfTenEntries(ctx context.Context) (*fakeStore, []*Writer) {
+	f := newFakeStore(2 * time.Millisecond)
+	f.joinTime = 4 * time.Millisecond
+	var ws []*Writer
+	for range 10 {
+		s := NewStore(quiet(), f)
+		ws = append(ws, NewWriter(s, "jobs"))
+		go joinUntil(ctx, s)
+	}
+	callers(ws, 20, 50*time.Millisecond, 3*time.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.appendTime, f.joinTime = 100*time.Millisecond, 200*time.Millisecond
+	return f, ws
+}
+
+func countErrors(results []error) int {
+	n := 0
+	for _, err := range results {
+		if err != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // Load pattern: submissions through ten entries when the store becomes slow. Their
 // first appends are not answered soon, so only the other calls show how slow it
 // is. Repeats of each entry's appends would fill the queue at the store.
 func TestStoreThatBecomesSlowIsNotFloodedByRepeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		defer settle()
-		f := newFakeStore(2 * time.Millisecond)
-		f.joinTime = 4 * time.Millisecond
-		var ws []*Writer
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		for range 10 {
-			s := NewStore(quiet(), f)
-			ws = append(ws, NewWriter(s, "jobs"))
-			go joinUntil(ctx, s)
-		}
-		callers(ws, 20, 50*time.Millisecond, 3*time.Second)
-		f.mu.Lock()
-		f.appendTime, f.joinTime = 100*time.Millisecond, 200*time.Millisecond
-		f.mu.Unlock()
+		f, ws := slowStoreOfTenEntries(ctx)
 		time.Sleep(time.Second)
-		failed := 0
-		for _, err := range callers(ws, 100, 60*time.Millisecond, 3*time.Second) {
-			if err != nil {
-				failed++
-			}
-		}
+		failed := countErrors(callers(ws, 100, 60*time.Millisecond, 3*time.Second))
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if failed > 0 || f.refusals > 0 {
@@ -78,28 +90,11 @@
 func TestQueueOfAStoreThatBecomesSlowDrains(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		defer settle()
-		f := newFakeStore(2 * time.Millisecond)
-		f.joinTime = 4 * time.Millisecond
-		var ws []*Writer
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		for range 10 {
-			s := NewStore(quiet(), f)
-			ws = append(ws, NewWriter(s, "jobs"))
-			go joinUntil(ctx, s)
-		}
-		callers(ws, 20, 50*time.Millisecond, 3*time.Second)
-		f.mu.Lock()
-		f.appendTime, f.joinTime = 100*time.Millisecond, 200*time.Millisecond
-		f.mu.Unlock()
+		_, ws := slowStoreOfTenEntries(ctx)
 		results := callers(ws, 150, 40*time.Millisecond, 3*time.Second)
-		failed := 0
-		for _, err := range results[50:] {
-			if err != nil {
-				failed++
-			}
-		}
-		if failed > 0 {
+		if failed := countErrors(results[50:]); failed > 0 {
 			t.Errorf("%d of 100 records were not stored from 2 s after the store became slow", failed)
 		}
 	})
