Logs tell how a worker's life ended and how old its runs were

Change: the agent records start calls and the first failed call of each life, and reports unannounced ends of lives in its first message to an owner. The owner logs them and gives each 'run lost' a reason. No decision depends on it.

--- a/agent/exec/ack_test.go
+++ b/agent/exec/ack_test.go
@@ -53,7 +53,7 @@
 	owner := link.NewConn[link.AgentMessage, link.OwnerMessage](ownerConn)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	s := newSession(e, link.NewConn[link.OwnerMessage, link.AgentMessage](agentConn), link.Welcome{Epoch: 1, Token: 1, Lease: time.Second}, heartbeat)
+	s := newSession(e, newLifeRecord(workerLife), link.NewConn[link.OwnerMessage, link.AgentMessage](agentConn), link.Welcome{Epoch: 1, Token: 1, Lease: time.Second}, heartbeat)
 	ended := make(chan error, 1)
 	go func() { ended <- s.run(ctx) }()
 	for ctx.Err() == nil {
--- a/agent/exec/executor.go
+++ b/agent/exec/executor.go
@@ -59,6 +59,11 @@
 	// latest time at which they end, on clock.
 	leasedLife spar.Life
 	leaseEnd   time.Duration
+	// lifeRecord is of the worker's current life. lifeEnds are the last ends of
+	// lives that were not announced. Each owner is told of them, since the last one
+	// may not have stored what it was told.
+	lifeRecord *lifeRecord
+	lifeEnds   []link.LifeEnd
 	// leaveReportedEpoch is the epoch of the last owner that was informed that
 	// the worker has left.
 	leaveReportedEpoch int64
@@ -120,13 +125,14 @@
 	if owner == nil || heartbeat == nil || e.heartbeats.HasLeft(heartbeat.Info.Life) && e.leaveReportedEpoch == owner.Epoch {
 		return nil
 	}
+	life := e.recordLife(heartbeat.Info.Life)
 	c, err := e.dial(ctx, owner.AgentAddress)
 	if err != nil {
 		return errors.Wrap(err, "connect to the owner")
 	}
 	conn := link.NewConn[link.OwnerMessage, link.AgentMessage](c)
 	defer conn.Close()
-	if err := conn.Send(&link.AgentMessage{Node: e.node, Worker: &heartbeat.Info, MaxLeaseLeft: e.leaseLeft(heartbeat.Info.Life)}); err != nil {
+	if err := conn.Send(&link.AgentMessage{Node: e.node, Worker: &heartbeat.Info, MaxLeaseLeft: e.leaseLeft(heartbeat.Info.Life), LifeEnds: e.lifeEnds}); err != nil {
 		return err
 	}
 	m, err := conn.Receive(welcomeTimeout)
@@ -139,7 +145,7 @@
 	e.epoch = m.Welcome.Epoch
 	e.Info("session begins", "epoch", e.epoch, "token", m.Welcome.Token, "worker", heartbeat.Info.Life.ID)
 	e.Counter("sessions").Inc(1)
-	return newSession(e, conn, *m.Welcome, *heartbeat).run(ctx)
+	return newSession(e, life, conn, *m.Welcome, *heartbeat).run(ctx)
 }
 
 // leaseLeft returns how long leases that this process extended for a life can
--- a/agent/exec/heartbeats.go
+++ b/agent/exec/heartbeats.go
@@ -36,7 +36,9 @@
 	last *Heartbeat
 	// deregistered is the last life that announced its end.
 	deregistered spar.Life
-	changed      chan struct{}
+	// drained is the last life that was draining when the next one began.
+	drained spar.Life
+	changed chan struct{}
 }
 
 // NewHeartbeats returns a receiver without any heartbeat.
@@ -64,6 +66,14 @@
 	return b.deregistered == l
 }
 
+// WasDraining reports whether a life that is over had been draining, so that its
+// end was to be expected.
+func (b *Heartbeats) WasDraining(l spar.Life) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.drained == l
+}
+
 // Changed returns a channel that is signalled after a heartbeat with a new life,
 // draining state or size.
 func (b *Heartbeats) Changed() <-chan struct{} { return b.changed }
@@ -95,6 +105,9 @@
 		}
 	}
 	b.last = &r
+	if old != nil && old.Info.Draining && old.Info.Life != r.Info.Life {
+		b.drained = old.Info.Life
+	}
 	if old == nil || old.Info.Life != r.Info.Life || old.Info.Draining != r.Info.Draining || old.Info.Size != r.Info.Size {
 		b.Info("worker state changed", "worker", r.Info.Life.ID, "born", r.Info.Life.Born, "draining", r.Info.Draining, "size", r.Info.Size)
 		select {
--- /dev/null
+++ b/agent/exec/life.go
@@ -0,0 +1,110 @@
+package exec
+
+import (
+	"sync"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/link"
+	"github.com/cockroachdb/errors"
+)
+
+// maxLifeEnds bounds the ended lives of the worker that are reported to an owner.
+const maxLifeEnds = 4
+
+// lifeRecord holds what this process knows about one life of the worker, so that
+// it can report which runs ended with the life, and how. A worker that crashes
+// reports nothing itself. Times are on the executor's clock.
+type lifeRecord struct {
+	life spar.Life
+
+	mu sync.Mutex
+	// startedAt holds the runs that are or may be on the worker. The time is that
+	// of the last start call, or of the first listing of a run that an earlier
+	// process has started.
+	startedAt map[runKey]time.Duration
+	// failedAt is the time of the first call that failed since the worker last
+	// answered one, or 0. disconnected reports whether the worker closed or
+	// refused the connection of that call.
+	failedAt     time.Duration
+	disconnected bool
+}
+
+func newLifeRecord(l spar.Life) *lifeRecord {
+	return &lifeRecord{life: l, startedAt: map[runKey]time.Duration{}}
+}
+
+// recordStart records that a start call is sent.
+func (l *lifeRecord) recordStart(k runKey, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.startedAt[k] = now
+}
+
+// removeRun removes a run that the worker has refused to start.
+func (l *lifeRecord) removeRun(k runKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.startedAt, k)
+}
+
+// recordLists applies the worker's lists.
+func (l *lifeRecord) recordLists(lists spar.RunLists, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range lists.Running {
+		k := runKey{r.Task, r.Run}
+		if _, ok := l.startedAt[k]; !ok {
+			l.startedAt[k] = now
+		}
+	}
+	for _, e := range lists.Ended {
+		delete(l.startedAt, runKey{e.Task, e.Run})
+	}
+}
+
+// recordResult records whether a call to the worker was answered.
+func (l *lifeRecord) recordResult(err error, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.failedAt, l.disconnected = 0, false
+	case l.failedAt == 0 && !errors.Is(err, spar.ErrOtherLife):
+		l.failedAt, l.disconnected = now, errors.Is(err, spar.ErrDisconnected)
+	}
+}
+
+// end returns the report that the life is over. Without a failed call it is not
+// known when and how the life ended.
+func (l *lifeRecord) end() link.LifeEnd {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := link.LifeEnd{Life: l.life, Crashed: l.disconnected}
+	if l.failedAt == 0 {
+		return e
+	}
+	for k, at := range l.startedAt {
+		if at <= l.failedAt {
+			e.Runs = append(e.Runs, link.LostRun{Task: k.task, Run: k.run, Age: l.failedAt - at})
+		}
+	}
+	return e
+}
+
+// recordLife returns the record of the worker's current life. If the last record
+// is of an earlier life, its end is kept for the owners.
+func (e *Executor) recordLife(current spar.Life) *lifeRecord {
+	if e.lifeRecord != nil && e.lifeRecord.life == current {
+		return e.lifeRecord
+	}
+	if e.lifeRecord != nil && !e.heartbeats.WasDraining(e.lifeRecord.life) {
+		end := e.lifeRecord.end()
+		e.Warn("worker ended without leaving", "worker", end.Life.ID, "born", end.Life.Born, "crashed", end.Crashed, "runs", len(end.Runs), "youngest", end.YoungestAge())
+		e.Counter("worker_ends").Inc(1)
+		e.lifeEnds = append(e.lifeEnds, end)
+		e.lifeEnds = e.lifeEnds[max(len(e.lifeEnds)-maxLifeEnds, 0):]
+	}
+	e.lifeRecord = newLifeRecord(current)
+	return e.lifeRecord
+}
--- a/agent/exec/orders.go
+++ b/agent/exec/orders.go
@@ -104,7 +104,11 @@
 		o.Until = s.workerLeaseEnd
 		s.mu.Unlock()
 		started := time.Now()
+		s.life.recordStart(runKey{o.Task, o.Run}, s.clock())
 		result, err := s.worker.Start(ctx, s.target, o)
+		if ctx.Err() == nil {
+			s.life.recordResult(err, s.clock())
+		}
 		s.Timer("start").Record(time.Since(started))
 		switch {
 		case err == nil && result == spar.StartDone:
@@ -112,6 +116,7 @@
 			return
 		case err == nil && !maybeStarted && result != spar.StartOld:
 			s.Info("start refused", "task", o.Task, "run", o.Run, "reason", result)
+			s.life.removeRun(runKey{o.Task, o.Run})
 			s.queueOutcome(link.StartOutcome{Task: o.Task, Run: o.Run, Result: result})
 			return
 		case err == nil:
--- a/agent/exec/report.go
+++ b/agent/exec/report.go
@@ -28,6 +28,7 @@
 		}
 		delete(s.stoppedRuns, k)
 		if !listed[k] {
+			s.life.removeRun(k)
 			s.outcomes = append(s.outcomes, link.StartOutcome{Task: k.task, Run: k.run, Result: spar.StartNever})
 		}
 	}
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -33,6 +33,7 @@
 // session serves one owner and one life of the worker.
 type session struct {
 	*Executor
+	life       *lifeRecord
 	conn       *link.Conn[link.OwnerMessage, link.AgentMessage]
 	target     spar.Target
 	lease      time.Duration
@@ -76,9 +77,9 @@
 	run  int64
 }
 
-func newSession(e *Executor, c *link.Conn[link.OwnerMessage, link.AgentMessage], w link.Welcome, h Heartbeat) *session {
+func newSession(e *Executor, life *lifeRecord, c *link.Conn[link.OwnerMessage, link.AgentMessage], w link.Welcome, h Heartbeat) *session {
 	return &session{
-		Executor: e, conn: c, lease: w.Lease, orderSlots: make(chan struct{}, maxParallelOrders),
+		Executor: e, life: life, conn: c, lease: w.Lease, orderSlots: make(chan struct{}, maxParallelOrders),
 		target:    spar.Target{Address: h.Address, Life: h.Info.Life, Token: w.Token},
 		ungranted: map[int64]sentHeartbeat{}, reportedRunning: map[spar.TaskRef]spar.Running{}, stoppedRuns: map[runKey]int64{},
 		ackReceived: make(chan struct{}, 1), outcomeQueued: make(chan struct{}, 1),
@@ -143,7 +144,7 @@
 	var err error
 	for range maxHoldAttempts {
 		var l spar.RunLists
-		l, err = s.worker.Hold(ctx, s.target, 0, 0, 0)
+		l, err = s.listWorker(ctx, 0, 0, 0)
 		if err == nil || errors.Is(err, spar.ErrOtherLife) || ctx.Err() != nil {
 			return l, err
 		}
@@ -152,6 +153,19 @@
 	return spar.RunLists{}, errors.Wrap(err, "worker does not answer")
 }
 
+// listWorker makes a hold call and records its result.
+func (s *session) listWorker(ctx context.Context, acked, until int64, wait time.Duration) (spar.RunLists, error) {
+	l, err := s.worker.Hold(ctx, s.target, acked, until, wait)
+	if ctx.Err() != nil {
+		return l, err
+	}
+	s.life.recordResult(err, s.clock())
+	if err == nil {
+		s.life.recordLists(l, s.clock())
+	}
+	return l, err
+}
+
 // hold runs holdLoop in a goroutine.
 func (s *session) hold(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
@@ -171,7 +185,7 @@
 		number := s.listNumber
 		s.mu.Unlock()
 		started := time.Now()
-		l, err := s.worker.Hold(ctx, s.target, ackToSend(acked, deliveredAck), until, holdWait)
+		l, err := s.listWorker(ctx, ackToSend(acked, deliveredAck), until, holdWait)
 		s.Timer("hold").Record(time.Since(started))
 		if err != nil {
 			failures++
--- a/link/messages.go
+++ b/link/messages.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -15,6 +17,9 @@
 	// run, if this agent process is the one that extended them; nil if an earlier
 	// process may have. It is set in the first message.
 	MaxLeaseLeft *time.Duration `msgpack:"v,omitempty"`
+	// LifeEnds are the last lives of the worker that ended without being
+	// announced. They are set in the first message.
+	LifeEnds []LifeEnd `msgpack:"d,omitempty"`
 	// Worker is what the worker last reported about itself, if that has changed.
 	Worker *spar.WorkerInfo `msgpack:"w,omitempty"`
 	// WorkerLeft reports that the worker has signed off and no longer answers.
@@ -31,6 +36,35 @@
 	Outcomes []StartOutcome `msgpack:"o,omitempty"`
 }
 
+// LifeEnd reports that a life of the worker is over although the worker had not
+// announced that it leaves.
+type LifeEnd struct {
+	Life spar.Life `msgpack:"l"`
+	// Crashed reports that the worker's process ended while its machine and the
+	// agent went on: the worker closed or refused a connection before anything
+	// else failed. Else it may have been cut off or without power.
+	Crashed bool `msgpack:"c,omitempty"`
+	// Runs are the runs that were or may have been on the worker at the end.
+	Runs []LostRun `msgpack:"r,omitempty"`
+}
+
+// LostRun is a run that ended with the worker's life.
+type LostRun struct {
+	Task spar.TaskRef `msgpack:"t"`
+	Run  int64        `msgpack:"r"`
+	// Age is the time from the run's start to the end of the life.
+	Age time.Duration `msgpack:"a"`
+}
+
+// YoungestAge returns the age of the run that was started last, or 0 if there was
+// none.
+func (e LifeEnd) YoungestAge() time.Duration {
+	if len(e.Runs) == 0 {
+		return 0
+	}
+	return slices.MinFunc(e.Runs, func(a, b LostRun) int { return cmp.Compare(a.Age, b.Age) }).Age
+}
+
 // StartOutcome is the answer to a start order.
 type StartOutcome struct {
 	Task   spar.TaskRef     `msgpack:"t"`
--- a/shard/job.go
+++ b/shard/job.go
@@ -106,6 +106,9 @@
 	// measured is the latest reported figure: the tail latency in ms of a
 	// serving task, the CPU use in thousandths of a processor of any other.
 	measured int64
+	// crash describes the crash of the worker that ended the run, if the agent
+	// reported one.
+	crash string
 	// overTargetSince is when the tail latency began to exceed its target; zero
 	// while it does not.
 	overTargetSince time.Time
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -141,7 +141,7 @@
 			}
 			// The node has a later life under another name, so the runs of the
 			// earlier one are over.
-			sc.endLife(w)
+			sc.endLife(w, "worker in a new life")
 			w = &worker{node: rp.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, leasesExpire: expires}
 			sc.workers[rp.Node] = w
 		}
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -32,7 +33,9 @@
 	// arrival.
 	earlyCancels map[string]time.Time
 	workers      map[string]*worker
-	changedJobs  map[*job]bool
+	// lifeEnds holds, by node, when the last life began whose end was reported.
+	lifeEnds    map[string]int64
+	changedJobs map[*job]bool
 	// claimedRuns are runs whose start orders are sent once the claims are
 	// stored.
 	claimedRuns  []*run
@@ -78,7 +81,7 @@
 	return &Scheduler{
 		limits: l, queues: map[string]spar.Queue{}, closedDomains: map[string]bool{},
 		jobs: map[string]*job{}, activeJobs: map[*job]bool{}, earlyCancels: map[string]time.Time{},
-		workers: map[string]*worker{}, changedJobs: map[*job]bool{},
+		workers: map[string]*worker{}, lifeEnds: map[string]int64{}, changedJobs: map[*job]bool{},
 		pendingStops: map[*run]bool{}, pendingPaces: map[*run]bool{}, pendingAcks: map[*worker]int64{}, onEvent: onEvent,
 	}
 }
@@ -203,10 +206,10 @@
 }
 
 // endLife removes a worker, with all its runs, whose life is over or whose
-// leases have expired.
-func (sc *Scheduler) endLife(w *worker) {
+// leases have expired. reason says which, unless a crash of the worker is known.
+func (sc *Scheduler) endLife(w *worker, reason string) {
 	for r := range w.runs {
-		sc.onEvent(Event{Name: "run lost", Task: r.task.ref().String(), Run: r.number, Node: w.node})
+		sc.onEvent(Event{Name: "run lost", Task: r.task.ref().String(), Run: r.number, Node: w.node, Reason: cmp.Or(r.crash, reason)})
 		sc.removeRun(r)
 	}
 	w.lifeEnded = true
@@ -249,7 +252,7 @@
 		// renew the leases on its worker requests no grants.
 		if now.After(w.leasesExpire) && (w.token == 0 || len(w.runs) > 0) {
 			sc.onEvent(Event{Name: "leases ended", Node: w.node})
-			sc.endLife(w)
+			sc.endLife(w, "leases ended")
 		}
 	}
 	for j := range sc.activeJobs {
--- a/shard/session.go
+++ b/shard/session.go
@@ -43,7 +43,7 @@
 			w.leasesExpire = now.Add(maxOrderDelay + sc.limits.MaxLease + ClockDriftMargin(sc.limits.MaxLease))
 			sc.transferRuns(w, old)
 		}
-		sc.endLife(old)
+		sc.endLife(old, "worker in a new life")
 	}
 	sc.workers[node] = w
 }
@@ -63,7 +63,7 @@
 func (sc *Scheduler) RemoveWorker(node string, token int64) {
 	if w := sc.workerInSession(node, token); w != nil {
 		sc.onEvent(Event{Name: "worker has left", Node: node})
-		sc.endLife(w)
+		sc.endLife(w, "worker has left")
 	}
 }
 
