Failing test: a task that crashes its workers is restarted for ever

The stand-in's workers can be crashed by a run now and are back after 3 s; the connections to a crashed worker are closed and refused. The record of the workers counts crashes by task and the starts after three of them.

--- a/prove/simul/jobs_test.go
+++ b/prove/simul/jobs_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/shard"
+	"github.com/berylspar/spar/stand/worker"
 	"github.com/berylspar/spar/track"
 )
 
@@ -16,10 +17,16 @@
 	return s.jobs[t.Job].Steps[t.Step].Size
 }
 
+// crashDelay is the time from the start of a crashing task to the crash.
+const crashDelay = 10 * time.Millisecond
+
 // drawWorkload draws the duration and the ending of a run.
 func (s *simulation) drawWorkload(t spar.TaskRef, _ int64) (time.Duration, spar.Ending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if j := s.jobs[t.Job]; j.crashing != nil && j.crashing(t) {
+		return crashDelay, worker.EndCrash
+	}
 	if s.fixedWorkload {
 		return 500 * time.Millisecond, spar.EndDone
 	}
@@ -68,8 +75,12 @@
 		}
 	}
 	j := &job{Job: spar.Job{ID: id, Queue: queue, Steps: steps, Policy: spar.Queue{Name: queue, Service: "desk", MaxAttempts: s.checker.MaxAttempts}}, alwaysFails: s.random.Float64() < 0.05}
+	s.submitJob(e, j)
+}
+
+func (s *simulation) submitJob(e *entry, j *job) {
 	s.mu.Lock()
-	s.jobs[id] = j
+	s.jobs[j.ID] = j
 	s.mu.Unlock()
 	go s.retryUntilStored(e, func(ctx context.Context) error { return e.asker.Submit(ctx, j.Job) })
 }
--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -54,6 +54,8 @@
 	spar.Job
 	cancelledAt time.Time
 	alwaysFails bool
+	// crashing, if set, reports whether a task crashes the workers that start it.
+	crashing func(spar.TaskRef) bool
 }
 
 type entry struct {
--- a/stand/worker/client.go
+++ b/stand/worker/client.go
@@ -67,7 +67,7 @@
 		return zero, err
 	}
 	out, err := call()
-	if errors.Is(err, spar.ErrUnknown) {
+	if errors.Is(err, spar.ErrUnknown) && !errors.Is(err, spar.ErrDisconnected) {
 		return zero, delay.NoAnswer(ctx, callee, noAnswerTimeout)
 	}
 	return out, err
--- a/stand/worker/invariants.go
+++ b/stand/worker/invariants.go
@@ -9,6 +9,13 @@
 	"github.com/berylspar/spar"
 )
 
+// A task must not be started maxStartsAfterCrashes times after maxCrashes workers
+// have crashed under it.
+const (
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 3
+)
+
 // InvariantChecker records the starts and ends of tasks on all workers and each
 // violation of an invariant of the scheduler.
 type InvariantChecker struct {
@@ -20,6 +27,10 @@
 	// failedAcked is when the acknowledged failures of a task occurred.
 	failedAcked map[spar.TaskRef][]time.Time
 	lastStart   map[spar.TaskRef]time.Time
+	// crashes counts the workers that a task has crashed, and startsAfterCrashes
+	// its starts after maxCrashes of them.
+	crashes            map[spar.TaskRef]int
+	startsAfterCrashes map[spar.TaskRef]int
 	// succeeded holds tasks with a successful end, acknowledged or not.
 	succeeded  map[spar.TaskRef]bool
 	startCount int
@@ -32,7 +43,7 @@
 
 // NewInvariantChecker returns a checker without a limit on attempts.
 func NewInvariantChecker() *InvariantChecker {
-	return &InvariantChecker{running: map[spar.TaskRef]map[string]int64{}, doneAcked: map[spar.TaskRef]time.Time{}, failedAcked: map[spar.TaskRef][]time.Time{}, lastStart: map[spar.TaskRef]time.Time{}, succeeded: map[spar.TaskRef]bool{}, MaxAttempts: 1 << 30}
+	return &InvariantChecker{running: map[spar.TaskRef]map[string]int64{}, doneAcked: map[spar.TaskRef]time.Time{}, failedAcked: map[spar.TaskRef][]time.Time{}, lastStart: map[spar.TaskRef]time.Time{}, crashes: map[spar.TaskRef]int{}, startsAfterCrashes: map[spar.TaskRef]int{}, succeeded: map[spar.TaskRef]bool{}, MaxAttempts: 1 << 30}
 }
 
 func (c *InvariantChecker) addViolation(format string, args ...any) {
@@ -56,6 +67,11 @@
 	if n := len(c.failedAcked[t]); n >= c.MaxAttempts && !forEarlierLife {
 		c.addViolation("task %s run %d starts on %s after %d acknowledged failures", t, number, node, n)
 	}
+	if c.crashes[t] >= maxCrashes {
+		if c.startsAfterCrashes[t]++; c.startsAfterCrashes[t] >= maxStartsAfterCrashes {
+			c.addViolation("task %s run %d starts on %s: start %d after it has crashed %d workers", t, number, node, c.startsAfterCrashes[t], c.crashes[t])
+		}
+	}
 	c.lastStart[t] = time.Now()
 	if c.StartForbidden != nil {
 		if reason := c.StartForbidden(t, node); reason != "" {
@@ -77,6 +93,20 @@
 	}
 }
 
+// crash records that a task has crashed its worker.
+func (c *InvariantChecker) crash(t spar.TaskRef) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes[t]++
+}
+
+// Crashes returns how many workers a task has crashed.
+func (c *InvariantChecker) Crashes(t spar.TaskRef) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashes[t]
+}
+
 // acknowledge records that the agent acknowledged an end. An end before the lease
 // last lapsed does not count: the task may have been started elsewhere since.
 func (c *InvariantChecker) acknowledge(e spar.Ended, endedAt time.Time, leaseLapsed bool) {
--- a/stand/worker/worker.go
+++ b/stand/worker/worker.go
@@ -4,6 +4,7 @@
 package worker
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -26,6 +27,13 @@
 // Workload returns the duration and the ending of a run.
 type Workload func(spar.TaskRef, int64) (time.Duration, spar.Ending)
 
+// EndCrash is the ending of a run that crashes its worker. No worker lists it.
+const EndCrash spar.Ending = "crash"
+
+// restartDelay is the time after which a worker that was crashed by a run is back
+// in a new life.
+const restartDelay = 3 * time.Second
+
 // Worker is the worker of one machine, in one life after another.
 type Worker struct {
 	mu       sync.Mutex
@@ -35,9 +43,16 @@
 	workload Workload
 	checker  *InvariantChecker
 
-	life   spar.Life
-	up     bool
-	bornAt time.Time
+	life spar.Life
+	up   bool
+	// crashed reports that the worker is down since its process crashed, so that
+	// connections are closed and refused. Else calls get no answer.
+	crashed bool
+	// restartAt is when a worker that was crashed by a run is back, and lives
+	// counts the restarts.
+	restartAt time.Time
+	lives     int
+	bornAt    time.Time
 	// token is the highest fencing token seen in this life.
 	token int64
 	// leaseUntil is when the lease ends on the worker's clock.
@@ -91,6 +106,40 @@
 	w.runs = map[spar.TaskRef]*run{}
 }
 
+// CrashProcess ends the life like Crash, but connections to the worker are closed
+// and refused from then on.
+func (w *Worker) CrashProcess() {
+	w.Crash()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.markCrashed()
+}
+
+func (w *Worker) markCrashed() {
+	w.crashed = true
+	w.signalChange()
+}
+
+// signalChange wakes the hold calls that wait for a change.
+func (w *Worker) signalChange() {
+	if w.changed != nil {
+		close(w.changed)
+		w.changed = nil
+	}
+}
+
+// crashByRun crashes the worker by one of its runs. It is back in a new life after
+// restartDelay.
+func (w *Worker) crashByRun(t spar.TaskRef) {
+	w.up, w.restartAt = false, time.Now().Add(restartDelay)
+	w.checker.crash(t)
+	for o, r := range w.runs {
+		w.checker.end(o, r.number, w.node, EndCrash)
+	}
+	w.runs = map[spar.TaskRef]*run{}
+	w.markCrashed()
+}
+
 // Restart starts a new life without any state of the last one.
 func (w *Worker) Restart(l spar.Life) {
 	if w.up {
@@ -98,7 +147,12 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.restart(l)
+}
+
+func (w *Worker) restart(l spar.Life) {
 	w.life, w.up, w.bornAt, w.token, w.leaseUntil, w.endCount = l, true, time.Now(), 0, 0, 0
+	w.crashed, w.restartAt = false, time.Time{}
 	w.runs, w.refusedUpTo, w.ended, w.endedAt = map[spar.TaskRef]*run{}, map[spar.TaskRef]int64{}, nil, map[int64]time.Time{}
 }
 
@@ -110,6 +164,9 @@
 // endDueRuns ends the runs that have finished and, when the lease has ended, all
 // others.
 func (w *Worker) endDueRuns() {
+	if !w.up {
+		return
+	}
 	now := time.Now()
 	clock := w.clockMs()
 	if clock > w.leaseUntil {
@@ -119,6 +176,9 @@
 		switch {
 		case clock > w.leaseUntil:
 			w.endRun(t, r, spar.EndLapsed)
+		case !now.Before(r.finishAt) && r.ending == EndCrash:
+			w.crashByRun(t)
+			return
 		case !now.Before(r.finishAt):
 			w.endRun(t, r, r.ending)
 		}
@@ -132,15 +192,16 @@
 	w.ended = append(w.ended, spar.Ended{Number: w.endCount, Task: t, Run: r.number, Ending: ending})
 	w.endedAt[w.endCount] = time.Now()
 	w.checker.end(t, r.number, w.node, ending)
-	if w.changed != nil {
-		close(w.changed)
-		w.changed = nil
-	}
+	w.signalChange()
 }
 
 func (w *Worker) checkTarget(t spar.Target) error {
-	if !w.up {
-		return errors.Mark(errors.New("worker: no answer (crashed)"), spar.ErrUnknown)
+	switch {
+	case w.up:
+	case w.crashed:
+		return errors.Mark(errors.Mark(errors.New("worker: connection closed"), spar.ErrDisconnected), spar.ErrUnknown)
+	default:
+		return errors.Mark(errors.New("worker: no answer"), spar.ErrUnknown)
 	}
 	if t.Life.ID != w.life.ID {
 		return errors.Wrap(spar.ErrOtherLife, "worker")
@@ -167,10 +228,10 @@
 func (w *Worker) Start(t spar.Target, o spar.StartOrder) (spar.StartResult, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.endDueRuns()
 	if err := w.checkTarget(t); err != nil {
 		return "", err
 	}
-	w.endDueRuns()
 	if !w.acceptToken(t.Token) {
 		return spar.StartFenced, nil
 	}
@@ -201,10 +262,10 @@
 func (w *Worker) Stop(t spar.Target, task spar.TaskRef, number int64) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.endDueRuns()
 	if err := w.checkTarget(t); err != nil {
 		return err
 	}
-	w.endDueRuns()
 	if !w.acceptToken(t.Token) {
 		return errors.Mark(errors.New("worker: fenced"), spar.ErrRefused)
 	}
@@ -221,10 +282,10 @@
 func (w *Worker) Hold(t spar.Target, acked, until int64) (spar.RunLists, <-chan struct{}, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.endDueRuns()
 	if err := w.checkTarget(t); err != nil {
 		return spar.RunLists{}, nil, err
 	}
-	w.endDueRuns()
 	if !w.acceptToken(t.Token) {
 		return spar.RunLists{}, nil, errors.Mark(errors.New("worker: fenced"), spar.ErrRefused)
 	}
@@ -248,12 +309,15 @@
 	return l, w.changed, nil
 }
 
-// EndDueRuns ends the runs that are due now. Tests call it periodically, since
-// otherwise runs end only when a call arrives.
+// EndDueRuns ends the runs that are due now, and starts a worker that a run has
+// crashed again when its time has come. Tests call it periodically, since otherwise
+// runs end only when a call arrives.
 func (w *Worker) EndDueRuns() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.up {
-		w.endDueRuns()
+	w.endDueRuns()
+	if !w.up && !w.restartAt.IsZero() && !time.Now().Before(w.restartAt) {
+		w.lives++
+		w.restart(spar.Life{ID: fmt.Sprintf("i-%s-life%d", w.node, w.lives), Born: time.Now().UnixMilli()})
 	}
 }
