A task that crashes its workers is tried alone and its job given up

Cause: only ends that a worker reports count as attempts. A crashed worker reports nothing, so a run lost with it counted nowhere and its task was placed again at once, with all others, on the worker that had just come back.

A suspect starts again only as a trial: nothing else starts on the worker until the run has lasted for longer than in the crash. A crash during a trial names its cause. Two such crashes on two nodes, or one at the same age as an earlier crash on another node, end the job as failed; five crashes of any kind do so as a last resort. A run that outlives the crashes clears its task. The histories are stored apart from the progress, whose records another build cannot read with more fields (seen: 'number of fields in array-encoded struct has changed'), so they last through an owner of an earlier build.

--- a/prove/simul/crash_test.go
+++ b/prove/simul/crash_test.go
@@ -42,9 +42,8 @@
 			if n := s.checker.Crashes(spar.TaskRef{Job: id}); n > maxCrashesByTask {
 				t.Errorf("task 0 of job %s crashed %d workers, want at most %d", id, n, maxCrashesByTask)
 			}
-			state, _, err := s.currentOwner().owner.LocalState(id)
-			if state != want || err != nil {
-				t.Errorf("job %s is %s (%v), want %s", id, state, err, want)
+			if state := s.stateOf(id); state != want {
+				t.Errorf("job %s is %q, want %s", id, state, want)
 			}
 		}
 	})
@@ -55,3 +54,16 @@
 	steps := []spar.Step{{Count: tasks, Size: spar.Size{CPUMilli: 500, MemoryMB: 500}, Estimate: time.Second}}
 	return spar.Job{ID: id, Queue: queue, Steps: steps, Policy: spar.Queue{Name: queue, Service: "desk", MaxAttempts: 3}}
 }
+
+// stateOf returns the state of a job that an owner knows, or "" if none does.
+func (s *simulation) stateOf(id string) shard.State {
+	for _, e := range s.entries {
+		if e.cancel == nil {
+			continue
+		}
+		if state, known, err := e.owner.LocalState(id); err == nil && known {
+			return state
+		}
+	}
+	return ""
+}
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -40,12 +40,18 @@
 	out := &Commit{jobStates: map[*job]State{}, claimedRuns: sc.claimedRuns, acks: sc.pendingAcks, DroppedJobs: sc.droppedJobs}
 	for j := range sc.changedJobs {
 		out.Records = append(out.Records, spar.Record{Key: j.ID, Value: j.encode()})
+		if r, ok := j.crashRecord(); ok {
+			out.Records = append(out.Records, r)
+		}
 		out.jobStates[j] = j.state
 		j.storedAt, j.unstoredCheckpoints = sc.now, false
 	}
 	for _, id := range sc.droppedJobs {
 		out.Records = append(out.Records, spar.Record{Key: id})
 	}
+	for _, id := range sc.droppedCrashes {
+		out.Records = append(out.Records, spar.Record{Key: crashPrefix + id})
+	}
 	if sc.interference.PairCount() > 0 && sc.now.Sub(sc.modelCheckedAt) >= modelStoreInterval {
 		if v := sc.interference.Encode(); !bytes.Equal(v, sc.storedModel) {
 			out.Records = append(out.Records, spar.Record{Key: modelKey, Value: v})
@@ -53,7 +59,8 @@
 		}
 		sc.modelCheckedAt = sc.now
 	}
-	sc.changedJobs, sc.claimedRuns, sc.pendingAcks, sc.droppedJobs = map[*job]bool{}, nil, map[*worker]int64{}, nil
+	sc.changedJobs, sc.claimedRuns, sc.pendingAcks = map[*job]bool{}, nil, map[*worker]int64{}
+	sc.droppedJobs, sc.droppedCrashes = nil, nil
 	return out
 }
 
--- /dev/null
+++ b/shard/crash_test.go
@@ -0,0 +1,283 @@
+package shard_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/link"
+	"github.com/berylspar/spar/shard"
+)
+
+// crashAge is the age at which the crashing tasks of the tests crash their workers.
+const crashAge = 11 * time.Millisecond
+
+// lostAt describes the run of a start order that is lost at an age.
+func lostAt(o spar.StartOrder, age time.Duration) link.LostRun {
+	return link.LostRun{Task: o.Task, Run: o.Run, Age: age}
+}
+
+// endLife connects a node in a new life, whose agent reports the end of the last.
+func (h *harness) endLife(node string, crashed bool, lost ...link.LostRun) {
+	h.lives++
+	h.ends[node] = link.LifeEnd{Life: spar.Life{ID: fmt.Sprintf("i-%s-%d", node, h.lives-1), Born: h.lives}, Crashed: crashed, Runs: lost}
+	h.scheduler.Disconnect(node, h.tokens[node])
+	h.advance(3 * time.Second)
+	for other, token := range h.tokens {
+		h.scheduler.GrantLease(other, token, h.now)
+	}
+	h.reconnect(node, spar.Life{ID: fmt.Sprintf("i-%s-%d", node, h.lives), Born: h.lives + 1})
+}
+
+// reconnect connects a node whose agent repeats its last report.
+func (h *harness) reconnect(node string, life spar.Life, running ...spar.Running) {
+	h.scheduler.RecordLifeEnds(node, []link.LifeEnd{h.ends[node]}, h.now)
+	h.connectLife(node, life, running...)
+}
+
+func (h *harness) crash(node string, lost ...link.LostRun) { h.endLife(node, true, lost...) }
+
+// nextStarts plans until starts are ordered, for at most four seconds.
+func (h *harness) nextStarts() map[string]*link.OwnerMessage {
+	h.Helper()
+	for range 80 {
+		if m := h.runCycle(); len(starts(m)) > 0 {
+			return m
+		}
+		h.advance(50 * time.Millisecond)
+		for node, token := range h.tokens {
+			h.scheduler.HandleReport(node, token, &link.AgentMessage{Heartbeat: 1}, h.now)
+			h.scheduler.GrantLease(node, token, h.now)
+		}
+	}
+	h.Fatal("nothing starts")
+	return nil
+}
+
+// onlyStart returns the one start order of a cycle and its node.
+func (h *harness) onlyStart(m map[string]*link.OwnerMessage) (string, spar.StartOrder) {
+	h.Helper()
+	h.expectStarts(m, 1)
+	for node, d := range m {
+		if len(d.Starts) > 0 {
+			h.report(node, started(d.Starts[0]))
+			return node, d.Starts[0]
+		}
+	}
+	return "", spar.StartOrder{}
+}
+
+var crashScenarios = []scenario{
+	{"a task that crashes its worker alone on two nodes is given up", func(h *harness) {
+		h.connect("n1")
+		h.connect("n2")
+		h.connect("n3")
+		h.submit("j1", "checks", shortStep(1))
+		for range 2 {
+			node, o := h.onlyStart(h.nextStarts())
+			h.crash(node, lostAt(o, crashAge))
+		}
+		h.expectStarts(h.runCycle(), 0)
+		h.expectState("j1", shard.Failed)
+		if why := h.scheduler.JobFailure("j1"); !strings.Contains(why, "j1.0.0.0 crashed 2 workers") {
+			h.Fatalf("the reason is %q", why)
+		}
+	}},
+	{"a crash is not counted again when the agent repeats it", func(h *harness) {
+		h.connect("n1")
+		h.connect("n2")
+		h.submit("j1", "checks", shortStep(1))
+		node, o := h.onlyStart(h.nextStarts())
+		h.crash(node, lostAt(o, crashAge))
+		for range 5 {
+			h.reconnect(node, spar.Life{ID: fmt.Sprintf("i-%s-%d", node, h.lives), Born: h.lives + 1})
+			h.runCycle()
+		}
+		h.expectState("j1", shard.Active)
+	}},
+	{"a worker that was cut off or lost power gives no suspicion", func(h *harness) {
+		h.connect("n1")
+		h.connect("n2")
+		h.submit("j1", "checks", shortStep(1))
+		for range 6 {
+			node, o := h.onlyStart(h.nextStarts())
+			h.endLife(node, false, lostAt(o, crashAge))
+		}
+		h.expectState("j1", shard.Active)
+	}},
+	{"tasks that are lost beside the cause complete", func(h *harness) {
+		h.connect("n1")
+		for i := range 4 {
+			h.submit(fmt.Sprintf("j%d", i), "checks", shortStep(1))
+		}
+		var lost []link.LostRun
+		for _, o := range h.expectStarts(h.runCycle(), 4) {
+			h.report("n1", started(o))
+			lost = append(lost, lostAt(o, crashAge))
+		}
+		h.connect("n2")
+		h.crash("n1", lost...)
+		ends := int64(0)
+		crashes := 1
+		for ends < 3 || crashes < 3 {
+			for node, m := range h.nextStarts() {
+				for _, o := range m.Starts {
+					h.report(node, started(o))
+					if o.Task.Job == "j0" {
+						crashes++
+						h.crash(node, lostAt(o, crashAge))
+						break
+					}
+					ends++
+					h.report(node, ended(ends, o, spar.EndDone))
+				}
+			}
+			if s, _ := h.scheduler.JobState("j0"); s == shard.Failed && ends == 3 {
+				break
+			}
+		}
+		h.runCycle()
+		h.expectState("j0", shard.Failed)
+		for i := 1; i < 4; i++ {
+			h.expectState(fmt.Sprintf("j%d", i), shard.Completed)
+		}
+	}},
+	{"nothing starts beside a trial until it is over", func(h *harness) {
+		h.connect("n1")
+		h.submit("j1", "checks", shortStep(1))
+		node, o := h.onlyStart(h.nextStarts())
+		h.crash(node, lostAt(o, crashAge))
+		h.onlyStart(h.nextStarts())
+		h.submit("j2", "checks", shortStep(1))
+		h.expectStarts(h.runCycle(), 0)
+		h.advance(time.Second)
+		h.expectStarts(h.runCycle(), 1)
+	}},
+	{"a run that outlives the crashes clears its task", func(h *harness) {
+		h.connect("n1")
+		h.connect("n2")
+		h.submit("j1", "checks", shortStep(1))
+		for range 8 {
+			node, o := h.onlyStart(h.nextStarts())
+			h.crash(node, lostAt(o, crashAge))
+			node, o = h.onlyStart(h.nextStarts())
+			h.advance(2 * time.Second)
+			h.report(node, &link.AgentMessage{Heartbeat: 2, Running: []spar.Running{{Task: o.Task, Run: o.Run, Percent: 60}}})
+			h.runCycle()
+			h.crash(node, lostAt(o, 2*time.Second))
+		}
+		h.expectState("j1", shard.Active)
+	}},
+	{"a task that crashes its workers late is given up after five", func(h *harness) {
+		h.connect("n1")
+		h.connect("n2")
+		h.submit("j1", "checks", shortStep(1))
+		for range 5 {
+			h.expectState("j1", shard.State(h.state1()))
+			node, o := h.onlyStart(h.nextStarts())
+			h.crash(node, lostAt(o, 2*time.Second))
+		}
+		h.runCycle()
+		h.expectState("j1", shard.Failed)
+	}},
+	{"a standing task that crashes its workers is given up", func(h *harness) {
+		h.connect("n1")
+		h.connect("n2")
+		s := shortStep(1)
+		s.Standing = true
+		h.submit("j1", "watches", s)
+		for range 2 {
+			node, o := h.onlyStart(h.nextStarts())
+			h.crash(node, lostAt(o, crashAge))
+		}
+		h.runCycle()
+		h.expectState("j1", shard.Failed)
+	}},
+	{"a gang is suspected as a whole", func(h *harness) {
+		h.connect("n1")
+		h.connect("n2")
+		h.submit("j1", "checks", spar.Step{Count: 2, Gang: true, Size: spar.Size{CPUMilli: 9000, MemoryMB: 500}, Estimate: time.Second})
+		for i, node := range []string{"n1", "n2"} {
+			m := h.nextStarts()
+			h.expectStarts(m, 2)
+			other := []string{"n2", "n1"}[i]
+			h.report(other, ended(1, m[other].Starts[0], spar.EndBroken))
+			h.crash(node, lostAt(m[node].Starts[0], crashAge))
+		}
+		h.runCycle()
+		h.expectState("j1", shard.Failed)
+	}},
+	{"a step of which every task crashes workers has one on trial at a time", func(h *harness) {
+		for i := range 6 {
+			h.connect(fmt.Sprintf("n%d", i))
+		}
+		h.submit("j1", "checks", spar.Step{Count: 6, Size: spar.Size{CPUMilli: 9000, MemoryMB: 500}, Estimate: time.Second})
+		crashes := 0
+		m := h.nextStarts()
+		h.expectStarts(m, 6)
+		for node, d := range m {
+			h.report(node, started(d.Starts[0]))
+		}
+		for node, d := range m {
+			crashes++
+			h.crash(node, lostAt(d.Starts[0], crashAge))
+		}
+		node, o := h.onlyStart(h.nextStarts())
+		h.advance(time.Second)
+		h.expectStarts(h.runCycle(), 0)
+		h.crash(node, lostAt(o, crashAge))
+		h.runCycle()
+		h.expectState("j1", shard.Failed)
+	}},
+	{"crashes count through a change of owner", func(h *harness) {
+		h.connect("n1")
+		h.connect("n2")
+		h.submit("j1", "checks", shortStep(1))
+		node, o := h.onlyStart(h.nextStarts())
+		h.crash(node, lostAt(o, crashAge))
+		h.runCycle()
+		h.replaceOwner(time.Minute)
+		for n := range h.tokens {
+			h.reconnect(n, spar.Life{ID: "i-" + n + "-next", Born: 100})
+		}
+		node, o = h.onlyStart(h.nextStarts())
+		h.crash(node, lostAt(o, crashAge))
+		h.runCycle()
+		h.expectState("j1", shard.Failed)
+		h.replaceOwner(time.Minute)
+		if why := h.scheduler.JobFailure("j1"); !strings.Contains(why, "crashed 2 workers") {
+			h.Fatalf("the next owner gives the reason %q", why)
+		}
+	}},
+	{"a start whose outcome the last owner did not learn counts", func(h *harness) {
+		h.connect("n1")
+		h.submit("j1", "checks", shortStep(1))
+		o := h.expectStarts(h.runCycle(), 1)[0]
+		h.replaceOwner(time.Minute)
+		h.connect("n2")
+		h.crash("n1", lostAt(o, crashAge))
+		node, o := h.onlyStart(h.nextStarts())
+		if o.Run != 2 {
+			h.Fatalf("run %d is ordered, want 2", o.Run)
+		}
+		h.crash(node, lostAt(o, crashAge))
+		h.runCycle()
+		h.expectState("j1", shard.Failed)
+	}},
+}
+
+// state1 returns the state of job j1.
+func (h *harness) state1() string {
+	s, _ := h.scheduler.JobState("j1")
+	return string(s)
+}
+
+// A task crashes the workers that start it, and nothing that a worker reports says
+// so. Its job must be given up after few crashes, and no job beside it.
+func TestTasksThatCrashWorkers(t *testing.T) {
+	for _, s := range crashScenarios {
+		t.Run(s.name, func(t *testing.T) { s.run(newHarness(t)) })
+	}
+}
--- a/shard/harness_test.go
+++ b/shard/harness_test.go
@@ -20,12 +20,16 @@
 	jobs  map[string][]byte
 	state map[string][]byte
 	limit shard.Limits
+	// ends holds the last end of a life that the agent of each node reports, and
+	// lives counts the lives that endLife began.
+	ends  map[string]link.LifeEnd
+	lives int64
 }
 
 var limits = shard.Limits{Lease: 5 * time.Second, MaxLease: 6 * time.Second, Retention: time.Minute}
 
 func newHarness(t testing.TB) *harness {
-	h := &harness{TB: t, now: time.Unix(1000, 0), tokens: map[string]int64{}, jobs: map[string][]byte{}, state: map[string][]byte{}, limit: limits}
+	h := &harness{TB: t, now: time.Unix(1000, 0), tokens: map[string]int64{}, jobs: map[string][]byte{}, state: map[string][]byte{}, limit: limits, ends: map[string]link.LifeEnd{}, lives: 1}
 	h.scheduler = shard.NewScheduler(limits, func(shard.Event) {})
 	h.setRules()
 	return h
--- a/shard/job.go
+++ b/shard/job.go
@@ -29,6 +29,10 @@
 	occurrences   []*occurrence
 	// started reports whether any task of the job has started.
 	started bool
+	// failure says why the job has failed. crashesStored reports whether a record
+	// with it or with crashes of the tasks is stored.
+	failure       string
+	crashesStored bool
 	// endedAt is when the job reached its final state.
 	endedAt time.Time
 	// firstSeen is when this owner first saw the job.
@@ -72,6 +76,7 @@
 	// task.
 	failedRuns []int64
 	checkpoint string
+	crashHistory
 	// runs are the runs that may exist on a worker. Beside the current one
 	// these are superseded runs that are being stopped.
 	runs []*run
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -89,9 +89,15 @@
 	return best, best.candidate != nil
 }
 
-// canAccept reports whether a worker may take a task. Fills are not placed
-// beside serving tasks that fills may be disturbing.
+// canAccept reports whether a worker may take a task and is not kept free for a
+// trial.
 func (sc *Scheduler) canAccept(w *candidate, t *task, now time.Time) bool {
+	return sc.canRun(w, t, now) && (len(sc.suspects) == 0 || !w.isKeptFree(now))
+}
+
+// canRun reports whether a worker meets the requirements of a task and has room
+// for it. Fills are not placed beside serving tasks that fills may be disturbing.
+func (sc *Scheduler) canRun(w *candidate, t *task, now time.Time) bool {
 	s := t.step
 	return w.info.Service == s.job.policy.Service && w.fits(s) && w.allowsStep(s) && s.mayStartOn(w.worker, now) && (!s.Fills || !w.mayBeDisturbed && !now.Before(w.noFillsUntil))
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -22,6 +22,8 @@
 	pool := sc.candidates(now)
 	sc.pool, sc.poolAt = pool, now
 	sc.stepsAwaitingAdvice, sc.shortages = nil, nil
+	sc.clearSurvivors()
+	sc.trials = sc.freeTrialSlots(now)
 	for _, q := range queue {
 		if !sc.placeStep(q.step, pool, now) && q.job.policy.Advised {
 			sc.stepsAwaitingAdvice = append(sc.stepsAwaitingAdvice, q.step)
@@ -113,8 +115,15 @@
 	if s.Gang {
 		return sc.placeGang(s, pool, now)
 	}
+	suspectsPlaced := true
+	if len(sc.suspects) > 0 {
+		suspectsPlaced = sc.placeSuspects(s, pool, now)
+		if s.hasLikelyCause() {
+			return suspectsPlaced
+		}
+	}
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+		if !t.isWaiting(now) || t.isSuspect() {
 			continue
 		}
 		p, ok := sc.bestPlacement(t, pool, now)
@@ -123,7 +132,7 @@
 		}
 		sc.claimRun(t, p, t.lastRun+1, now)
 	}
-	return true
+	return suspectsPlaced
 }
 
 // placeGang places all tasks of a gang under one run number, or none. It
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"strings"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -10,7 +11,8 @@
 )
 
 // progress is the stored form of a job's progress. It and the types below are
-// encoded as arrays, so the order of their fields must not change.
+// encoded as arrays, whose fields must stay as they are: a record with more or fewer
+// cannot be read by another build.
 type progress struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	State    State
@@ -93,6 +95,9 @@
 		}
 		return err
 	}
+	if job, ok := strings.CutPrefix(id, crashPrefix); ok {
+		return sc.restoreCrashes(job, value)
+	}
 	j := sc.jobs[id]
 	if j == nil {
 		return errors.Newf("restore progress of job %s: the job is not among the submissions", id)
--- a/shard/run_end.go
+++ b/shard/run_end.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -110,6 +111,7 @@
 	}
 	j := s.job
 	if !s.Standing && len(counted[0].failedRuns) >= max(j.policy.MaxAttempts, 1) && !j.hasEnded() {
+		j.failure = fmt.Sprintf("task %s failed %d times", t.ref(), len(counted[0].failedRuns))
 		sc.endJob(j, Failed, now)
 	}
 }
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -34,7 +34,11 @@
 	earlyCancels map[string]time.Time
 	workers      map[string]*worker
 	// lifeEnds holds, by node, when the last life began whose end was reported.
-	lifeEnds    map[string]int64
+	lifeEnds map[string]int64
+	// suspects are the tasks with crashes in their history, and trials the slots
+	// for their trials that the current Plan has left.
+	suspects    map[*task]bool
+	trials      trialSlots
 	changedJobs map[*job]bool
 	// claimedRuns are runs whose start orders are sent once the claims are
 	// stored.
@@ -42,7 +46,9 @@
 	pendingStops map[*run]bool
 	pendingPaces map[*run]bool
 	pendingAcks  map[*worker]int64
-	droppedJobs  []string
+	// droppedJobs and droppedCrashes are the jobs whose records, and whose records
+	// of crashes, the next commit drops.
+	droppedJobs, droppedCrashes []string
 	// stepsAwaitingAdvice are the steps of queues that require advice which the
 	// last Plan could not place, and adviceInFlight counts the unanswered
 	// requests.
@@ -81,7 +87,7 @@
 	return &Scheduler{
 		limits: l, queues: map[string]spar.Queue{}, closedDomains: map[string]bool{},
 		jobs: map[string]*job{}, activeJobs: map[*job]bool{}, earlyCancels: map[string]time.Time{},
-		workers: map[string]*worker{}, lifeEnds: map[string]int64{}, changedJobs: map[*job]bool{},
+		workers: map[string]*worker{}, lifeEnds: map[string]int64{}, suspects: map[*task]bool{}, changedJobs: map[*job]bool{},
 		pendingStops: map[*run]bool{}, pendingPaces: map[*run]bool{}, pendingAcks: map[*worker]int64{}, onEvent: onEvent,
 	}
 }
@@ -218,6 +224,15 @@
 	}
 }
 
+// JobFailure returns why a job has failed, or "" if it has not or the reason was
+// not stored.
+func (sc *Scheduler) JobFailure(id string) string {
+	if j := sc.jobs[id]; j != nil && j.reportedState == Failed {
+		return j.failure
+	}
+	return ""
+}
+
 // JobState returns the state of a job as it is stored, and whether the job is
 // known.
 func (sc *Scheduler) JobState(id string) (State, bool) {
@@ -273,6 +288,9 @@
 		delete(sc.jobs, j.ID)
 		delete(sc.changedJobs, j)
 		sc.droppedJobs = append(sc.droppedJobs, j.ID)
+		if j.crashesStored {
+			sc.droppedCrashes = append(sc.droppedCrashes, j.ID)
+		}
 	}
 	for id, at := range sc.earlyCancels {
 		if now.Sub(at) > sc.limits.Retention {
--- a/shard/session.go
+++ b/shard/session.go
@@ -44,6 +44,7 @@
 			sc.transferRuns(w, old)
 		}
 		sc.endLife(old, "worker in a new life")
+		sc.reserveAfterCrash(w, now)
 	}
 	sc.workers[node] = w
 }
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -30,6 +30,8 @@
 	failureScoreAt time.Time
 	// avoidUntil is the time until which no task is placed on the worker.
 	avoidUntil time.Time
+	// reservedUntil is the time until which only a trial may start on the worker.
+	reservedUntil time.Time
 	// listedAt is when the agent last sent a list of runs, or the changes to it.
 	listedAt time.Time
 	// tailsCheckedAt is when the tail latencies were last checked,
@@ -175,8 +177,10 @@
 // allowsStep reports whether the worker has the label that a step requires and
 // runs fewer of its tasks than the step allows per worker.
 func (w *worker) allowsStep(s *step) bool {
-	if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
-		return false
-	}
-	return s.MaxPerWorker == 0 || w.runsOfStep(s) < s.MaxPerWorker
+	return w.hasLabel(s) && (s.MaxPerWorker == 0 || w.runsOfStep(s) < s.MaxPerWorker)
+}
+
+// hasLabel reports whether the worker has the label that a step requires, if any.
+func (w *worker) hasLabel(s *step) bool {
+	return s.Label == "" || slices.Contains(w.info.Labels, s.Label)
 }
