--- a/beryl/cmds/job.go
+++ b/beryl/cmds/job.go
@@ -92,6 +92,9 @@
 	}
 	j, err := anyEntry[job](ctx, r, http.MethodGet, "/v1/jobs/"+url.PathEscape(name), nil)
 	if err != nil {
+		if answered, batchErr := r.showBatchJob(ctx, name); answered {
+			return batchErr
+		}
 		return err
 	}
 	r.printJob(j)
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -14,7 +14,6 @@
 	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/entry/config"
 	"github.com/berylspar/spar/entry/owner"
-	"github.com/berylspar/spar/shard"
 	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
@@ -27,7 +26,8 @@
 	// the caller.
 	DecodeJob func(id, queue string, accepted time.Time, body []byte) (spar.Job, error)
 	// EncodeState and EncodeQueueLength encode the bodies of answers.
-	EncodeState       func(state string) []byte
+	// EncodeState also takes the reason of a failure, or "".
+	EncodeState       func(state, failure string) []byte
 	EncodeQueueLength func(n int) []byte
 	// TimeoutHeader is the header with the milliseconds that a caller waits.
 	TimeoutHeader string
@@ -39,7 +39,7 @@
 type Jobs interface {
 	Submit(ctx context.Context, j spar.Job) error
 	Cancel(ctx context.Context, id string) error
-	State(ctx context.Context, id string) (shard.State, bool, error)
+	State(ctx context.Context, id string) (owner.JobStatus, error)
 	// Waiting returns the length of a queue.
 	Waiting(ctx context.Context, queue string) (int, error)
 	// IsCutOffAlone reports whether the store does not answer this entry while
@@ -228,21 +228,20 @@
 }
 
 func (s *Server) replyState(ctx context.Context, c *fasthttp.RequestCtx, id string) {
-	var known bool
-	var state shard.State
+	var status owner.JobStatus
 	err := s.queryWithRetry(ctx, func() (err error) {
-		state, known, err = s.jobs.State(ctx, id)
+		status, err = s.jobs.State(ctx, id)
 		return err
 	})
 	switch {
 	case err != nil:
 		s.refuse(c, id, "owner away", err)
-	case !known:
+	case !status.Known:
 		s.Info("job not known", "job", id)
 		c.SetStatusCode(fasthttp.StatusGone)
 	default:
 		c.SetContentType("application/json")
-		c.SetBody(s.format.EncodeState(string(state)))
+		c.SetBody(s.format.EncodeState(string(status.State), status.Failure))
 	}
 }
 
--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -54,13 +54,23 @@
 type reply struct {
 	State   shard.State `json:"state,omitempty"`
 	Known   bool        `json:"known,omitempty"`
-	Waiting int         `json:"waiting,omitempty"`
+	// Failure says why a job has failed.
+	Failure string `json:"failure,omitempty"`
+	Waiting int    `json:"waiting,omitempty"`
 }
 
-// State returns a job's state, and false if the job does not exist.
-func (c *Client) State(ctx context.Context, id string) (shard.State, bool, error) {
+// JobStatus is what the owner tells about a job. A job that does not exist is not
+// Known. Failure says why a job has failed.
+type JobStatus struct {
+	State   shard.State
+	Known   bool
+	Failure string
+}
+
+// State returns a job's status.
+func (c *Client) State(ctx context.Context, id string) (JobStatus, error) {
 	r, err := c.query(ctx, "/jobs/"+id, func(t *term) (reply, error) { return t.stateOf(id) })
-	return r.State, r.Known, err
+	return JobStatus{State: r.State, Known: r.Known, Failure: r.Failure}, err
 }
 
 // Waiting returns how many jobs of a queue have not started.
@@ -95,7 +105,7 @@
 	if !ok && time.Since(t.jobs.FreshAt()) > maxSubmissionsAge {
 		return reply{}, errors.Wrapf(ErrUnreachable, "job %s is not known, and submissions were last read %s ago", id, time.Since(t.jobs.FreshAt()))
 	}
-	return reply{State: s, Known: ok}, nil
+	return reply{State: s, Known: ok, Failure: t.scheduler.JobFailure(id)}, nil
 }
 
 func (t *term) waitingIn(queue string) (reply, error) {
