No start goes to a worker that has become smaller meanwhile

What callers would see: on a worker that does not check its room, runs beyond its size.

Change: claims are checked against the worker's size once more when they are stored, a gang as a whole. An order carries the room that the worker must have for all its runs, and the agent refuses it, or stops an unanswered start, when the last heartbeat says less. A worker with a run of an unknown size gets nothing for a second at a time. Nothing is stopped because a worker shrinks.

--- a/agent/exec/orders.go
+++ b/agent/exec/orders.go
@@ -96,9 +96,20 @@
 func (s *session) start(ctx context.Context, o spar.StartOrder) {
 	maybeStarted := false
 	for attempts := 1; ctx.Err() == nil; attempts++ {
-		if !maybeStarted && s.heartbeats.Load().Info.Draining {
+		current := s.heartbeats.Load().Info
+		fits := o.Room.Fits(current.Size)
+		switch {
+		case !maybeStarted && current.Draining:
 			s.queueOutcome(link.StartOutcome{Task: o.Task, Run: o.Run, Result: spar.StartDraining})
 			return
+		case !maybeStarted && !fits:
+			s.Info("start refused", "task", o.Task, "run", o.Run, "reason", spar.StartNoRoom, "room", o.Room, "size", current.Size)
+			s.queueOutcome(link.StartOutcome{Task: o.Task, Run: o.Run, Result: spar.StartNoRoom})
+			return
+		case !fits:
+			s.Info("unanswered start is stopped", "task", o.Task, "run", o.Run, "reason", spar.StartNoRoom, "room", o.Room, "size", current.Size)
+			s.stop(ctx, o.Task, o.Run)
+			return
 		}
 		s.mu.Lock()
 		o.Until = s.workerLeaseEnd
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -64,6 +64,46 @@
 	return out
 }
 
+// orderClaims returns the start orders of claimed runs that may be given. Their
+// workers must still have room for all runs that are assigned to them; a gang is
+// started as a whole or not at all. The other claims are removed, since no worker
+// has received them.
+func (sc *Scheduler) orderClaims(claims []*run, mayOrder bool) []*run {
+	var valid, out []*run
+	for _, r := range claims {
+		w := r.worker
+		switch {
+		case !w.runs[r]:
+		case !mayOrder || w.token != r.token || !w.listed || r.stopping:
+			sc.removeRun(r)
+		default:
+			valid = append(valid, r)
+		}
+	}
+	// The last claims give way, so that the first ones find room.
+	lacking := map[*step]bool{}
+	for i := len(valid) - 1; i >= 0; i-- {
+		r := valid[i]
+		s := r.task.step
+		if s.Gang && lacking[s] || !r.worker.room().Fits(r.worker.info.Size) {
+			sc.onEvent(Event{Name: "claim dropped", Task: r.task.ref().String(), Run: r.number, Node: r.worker.node, Reason: "worker is smaller now"})
+			lacking[s] = true
+			sc.removeRun(r)
+			valid[i] = nil
+		}
+	}
+	for _, r := range valid {
+		switch {
+		case r == nil:
+		case r.task.step.Gang && lacking[r.task.step]:
+			sc.removeRun(r)
+		default:
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // FinishCommit releases the effects of a stored commit: job states become
 // visible to callers, and start orders and acknowledgements are returned as
 // messages by node. Start orders need mayOrder and the session under which they
@@ -88,20 +128,12 @@
 			messageFor(out, w).Acked = w.ackedEnd
 		}
 	}
-	for _, r := range c.claimedRuns {
-		w := r.worker
-		if !w.runs[r] {
-			continue
-		}
-		if !mayOrder || w.token != r.token || !w.listed || r.stopping {
-			sc.removeRun(r)
-			continue
-		}
+	for _, r := range sc.orderClaims(c.claimedRuns, mayOrder) {
+		w, t := r.worker, r.task
 		r.ordered = true
-		t := r.task
 		messageFor(out, w).Starts = append(messageFor(out, w).Starts, spar.StartOrder{
 			Task: t.ref(), Run: r.number, Spec: t.step.job.Spec, Checkpoint: t.checkpoint,
-			Ticket: t.step.advice.permits[w.info.Life.ID].ticket,
+			Ticket: t.step.advice.permits[w.info.Life.ID].ticket, Room: w.room(),
 		})
 	}
 	return out
--- a/shard/report.go
+++ b/shard/report.go
@@ -73,6 +73,8 @@
 	if t == nil {
 		sc.onEvent(Event{Name: "unknown run found", Task: row.Task.String(), Run: row.Run, Node: w.node})
 		sc.pendingStops[&run{task: unknownTask(row.Task), worker: w, number: row.Run}] = true
+		// The size of the run is not known.
+		w.avoidUntil = now.Add(unknownRunBackoff)
 		return
 	}
 	r := &run{task: t, worker: w, number: row.Run, ordered: true, token: w.token, pace: 100, started: now}
@@ -164,6 +166,9 @@
 	// noRoomBackoff is how long a worker gets no new tasks after it refused one
 	// for lack of room.
 	noRoomBackoff = 150 * time.Millisecond
+	// unknownRunBackoff is how long a worker gets no new tasks after it has listed
+	// a run of an unknown job. Stopping it may take that long.
+	unknownRunBackoff = time.Second
 )
 
 // reconcileListing compares the known runs of a worker with a complete listing.
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -129,6 +129,16 @@
 	}
 }
 
+// room is the size of all runs that are assigned to the worker, also of those that
+// are being stopped. Fills take no processors from it.
+func (w *worker) room() spar.Size {
+	var a allocation
+	for r := range w.runs {
+		a.addTasks(r.task.step, r.pace, 1)
+	}
+	return a.reserved
+}
+
 // runsOfStep counts the runs of a step on the worker.
 func (w *worker) runsOfStep(s *step) int {
 	n := 0
--- a/worker.go
+++ b/worker.go
@@ -49,6 +49,9 @@
 	// Ticket is the adviser's permission to run the task on this worker, for
 	// queues that need advice.
 	Ticket string `msgpack:"k,omitempty"`
+	// Room is the size of all runs that the owner has assigned to the worker, this
+	// one included. The agent refuses the order if the worker has become smaller.
+	Room Size `msgpack:"m"`
 	// Until is the end of the lease on the worker's clock. The agent sets it.
 	Until int64 `msgpack:"-"`
 }
