Random runs and the soak crash workers by tasks and shrink them

Why it was missed: no worker of a stand-in could crash by a task, none closed its connections when it crashed, and none changed its size. They can now, in prove/simul (TestRandomFaultsAndCrashingTasks) and in the soak; the checker counts starts after three crashes and starts beyond the size of a worker that does not check it, and the runs check that no other job is given up.

With one task alone that has crashed at that age before, the others are no longer counted. - Counted crashes were forgotten by the next owner when agents reported them in another order, and a run that was fenced off and never ran cleared its task. - Unanswered starts had a wrong age, and a start without an answer hid the closed connection that followed. - A task that crashed the only worker, or at varying ages, was never certain. - Ends of lives in silence count, but only towards five. Each has a case in shard TestTasksThatCrashWorkers or agent/exec life_test.go.

--- a/agent/exec/life.go
+++ b/agent/exec/life.go
@@ -1,6 +1,7 @@
 package exec
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -19,10 +20,8 @@
 	life spar.Life
 
 	mu sync.Mutex
-	// startedAt holds the runs that are or may be on the worker. The time is that
-	// of the last start call, or of the first listing of a run that an earlier
-	// process has started.
-	startedAt map[runKey]time.Duration
+	// starts holds the runs that are or may be on the worker.
+	starts map[runKey]runStart
 	// failedAt is the time of the first call that failed since the worker last
 	// answered one, or 0. disconnected reports whether the worker closed or
 	// refused the connection of that call.
@@ -30,22 +29,44 @@
 	disconnected bool
 }
 
+// runStart is the start of a run.
+type runStart struct {
+	// at is the time of the last start call, or of the first listing of a run that
+	// an earlier process has started.
+	at time.Duration
+	// confirmed reports whether the worker has answered a start call or listed the
+	// run. Else the worker may have carried out any of the calls, at any time.
+	confirmed bool
+}
+
 func newLifeRecord(l spar.Life) *lifeRecord {
-	return &lifeRecord{life: l, startedAt: map[runKey]time.Duration{}}
+	return &lifeRecord{life: l, starts: map[runKey]runStart{}}
 }
 
 // recordStart records that a start call is sent.
 func (l *lifeRecord) recordStart(k runKey, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.startedAt[k] = now
+	if !l.starts[k].confirmed {
+		l.starts[k] = runStart{at: now}
+	}
+}
+
+// confirmRun records that a start call was answered.
+func (l *lifeRecord) confirmRun(k runKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s, ok := l.starts[k]; ok {
+		s.confirmed = true
+		l.starts[k] = s
+	}
 }
 
 // removeRun removes a run that the worker has refused to start.
 func (l *lifeRecord) removeRun(k runKey) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.startedAt, k)
+	delete(l.starts, k)
 }
 
 // recordLists applies the worker's lists.
@@ -54,15 +75,30 @@
 	defer l.mu.Unlock()
 	for _, r := range lists.Running {
 		k := runKey{r.Task, r.Run}
-		if _, ok := l.startedAt[k]; !ok {
-			l.startedAt[k] = now
+		if s, ok := l.starts[k]; !ok {
+			l.starts[k] = runStart{now, true}
+		} else if !s.confirmed {
+			l.starts[k] = runStart{s.at, true}
 		}
 	}
 	for _, e := range lists.Ended {
-		delete(l.startedAt, runKey{e.Task, e.Run})
+		delete(l.starts, runKey{e.Task, e.Run})
 	}
 }
 
+// recordFencedLists applies the worker's lists under a new fencing token. Runs that
+// are on neither never start any more.
+func (l *lifeRecord) recordFencedLists(lists spar.RunLists, now time.Duration) {
+	l.recordLists(lists, now)
+	listed := map[runKey]bool{}
+	for _, r := range lists.Running {
+		listed[runKey{r.Task, r.Run}] = true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.starts, func(k runKey, _ runStart) bool { return !listed[k] })
+}
+
 // recordResult records whether a call to the worker was answered.
 func (l *lifeRecord) recordResult(err error, now time.Duration) {
 	l.mu.Lock()
@@ -84,9 +120,9 @@
 	if l.failedAt == 0 {
 		return e
 	}
-	for k, at := range l.startedAt {
-		if at <= l.failedAt {
-			e.Runs = append(e.Runs, link.LostRun{Task: k.task, Run: k.run, Age: l.failedAt - at})
+	for k, s := range l.starts {
+		if s.at <= l.failedAt {
+			e.Runs = append(e.Runs, link.LostRun{Task: k.task, Run: k.run, Age: l.failedAt - s.at, Unconfirmed: !s.confirmed})
 		}
 	}
 	return e
--- a/agent/exec/life_test.go
+++ b/agent/exec/life_test.go
@@ -39,12 +39,29 @@
 	ages := map[string]time.Duration{}
 	for _, r := range e.Runs {
 		ages[r.Task.Job] = r.Age
+		if r.Unconfirmed != (r.Task.Job == "unanswered") {
+			t.Errorf("run of %s: unconfirmed %v", r.Task.Job, r.Unconfirmed)
+		}
 	}
 	if !e.Crashed || len(ages) != 3 || ages["old"] != 3010*time.Millisecond || ages["adopted"] != 2010*time.Millisecond || ages["unanswered"] != 10*time.Millisecond {
 		t.Fatalf("crashed %v, ages %v", e.Crashed, ages)
 	}
 }
 
+// An unanswered start that the next session's first list does not show never runs.
+// It must not be reported as lost in a later crash, with an age that would clear its
+// task of earlier ones.
+func TestStartThatWasFencedOffIsNotReported(t *testing.T) {
+	l := newLifeRecord(workerLife)
+	l.recordStart(runOf("fenced", 3), time.Second)
+	l.recordStart(runOf("running", 1), time.Second)
+	l.recordFencedLists(spar.RunLists{Running: []spar.Running{{Task: spar.TaskRef{Job: "running"}, Run: 1}}}, 2*time.Second)
+	l.recordResult(errClosed, 3*time.Second)
+	if e := l.end(); len(e.Runs) != 1 || e.Runs[0].Task.Job != "running" {
+		t.Fatalf("reported %+v", e.Runs)
+	}
+}
+
 // A worker that was cut off or lost power was not crashed by what ran on it.
 func TestLifeThatEndsInSilenceIsNoCrash(t *testing.T) {
 	for _, tt := range []struct {
--- a/agent/exec/orders.go
+++ b/agent/exec/orders.go
@@ -117,12 +117,15 @@
 		started := time.Now()
 		s.life.recordStart(runKey{o.Task, o.Run}, s.clock())
 		result, err := s.worker.Start(ctx, s.target, o)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && (err == nil || errors.Is(err, spar.ErrDisconnected)) {
+			// A start without an answer says nothing about the worker: it may be
+			// carried out late. The hold calls tell whether the worker is silent.
 			s.life.recordResult(err, s.clock())
 		}
 		s.Timer("start").Record(time.Since(started))
 		switch {
 		case err == nil && result == spar.StartDone:
+			s.life.confirmRun(runKey{o.Task, o.Run})
 			s.queueOutcome(link.StartOutcome{Task: o.Task, Run: o.Run, Result: result})
 			return
 		case err == nil && !maybeStarted && result != spar.StartOld:
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -99,6 +99,7 @@
 	if err != nil {
 		return s.reportLeft(err)
 	}
+	s.life.recordFencedLists(lists, s.clock())
 	if s.leasedLife != s.target.Life {
 		// A previous agent process may have extended leases until just now.
 		s.leasedLife, s.leaseEnd = s.target.Life, s.clock()+s.lease
--- a/link/messages.go
+++ b/link/messages.go
@@ -52,8 +52,11 @@
 type LostRun struct {
 	Task spar.TaskRef `msgpack:"t"`
 	Run  int64        `msgpack:"r"`
-	// Age is the time from the run's start to the end of the life.
+	// Age is the time from the last start call to the end of the life.
 	Age time.Duration `msgpack:"a"`
+	// Unconfirmed reports that no start call was answered and the run was not
+	// listed, so that it may have started at any time, or not at all.
+	Unconfirmed bool `msgpack:"u,omitempty"`
 }
 
 // YoungestAge returns the age of the run that was started last, or 0 if there was
--- a/prove/simul/jobs_test.go
+++ b/prove/simul/jobs_test.go
@@ -78,6 +78,43 @@
 	s.submitJob(e, j)
 }
 
+// submitCrashing submits a job with a task that crashes its workers, or with nothing
+// but such tasks.
+func (s *simulation) submitCrashing(e *entry) {
+	all := s.random.IntN(4) == 0
+	j := &job{Job: jobOf(fmt.Sprintf("%016x", s.random.Uint64()), 1+s.random.IntN(5))}
+	j.crashing = func(t spar.TaskRef) bool { return all || t.Index == 0 }
+	s.submitJob(e, j)
+}
+
+// maxLosses is the number of workers with which a task may be lost before its job is
+// given up, whoever crashed them: a sixth start could break the limit.
+const maxLosses = 5
+
+// expectNoneGivenUpWithoutCause checks that each failed job has a task that failed as
+// often as it may, one that crashes its workers, or one that was lost maxLosses times.
+func (s *simulation) expectNoneGivenUpWithoutCause() {
+	for id, j := range s.jobs {
+		if s.stateOf(id) != shard.Failed || j.crashing != nil {
+			continue
+		}
+		most, lost := 0, 0
+		for step, st := range j.Steps {
+			for i := range st.Count {
+				ref := spar.TaskRef{Job: id, Step: step, Index: i}
+				most, lost = max(most, s.checker.Failures(ref)), max(lost, s.checker.Losses(ref))
+			}
+		}
+		switch {
+		case most >= s.checker.MaxAttempts:
+		case lost >= maxLosses:
+			s.t.Logf("job %s was given up without a fault of its own: a task was lost with %d workers", id, lost)
+		default:
+			s.t.Errorf("job %s is failed, but no task failed more than %d times or was lost with more than %d workers", id, most, lost)
+		}
+	}
+}
+
 func (s *simulation) submitJob(e *entry, j *job) {
 	s.mu.Lock()
 	s.jobs[j.ID] = j
--- a/prove/soak/callers_test.go
+++ b/prove/soak/callers_test.go
@@ -20,6 +20,8 @@
 const (
 	submitInterval = 250 * time.Millisecond
 	callTimeout    = 3 * time.Second
+	// crashingShare is the share of jobs with a task that crashes its workers.
+	crashingShare = 0.03
 )
 
 // callers submit jobs, cancel some of them, and record which submissions and
@@ -52,6 +54,9 @@
 		case <-time.After(submitInterval):
 		}
 		id, cancelled := fmt.Sprintf("%016x", random.Uint64()), random.Float64() < 0.1
+		if random.Float64() < crashingShare {
+			c.d.markCrashing(id)
+		}
 		calls.Go(func() { c.submit(id, cancelled) })
 	}
 }
@@ -137,6 +142,7 @@
 			case code == http.StatusGone:
 				c.d.t.Fatalf("job %s was accepted, but an entry answers that it is not known", id)
 			case strings.Contains(text, "completed"):
+			case strings.Contains(text, "failed") && c.d.isCrashing(id):
 			case strings.Contains(text, "cancelled") && c.wasCancelled(id):
 			default:
 				open = append(open, fmt.Sprintf("%s (%d %s)", id, code, text))
--- a/prove/soak/faults_test.go
+++ b/prove/soak/faults_test.go
@@ -46,13 +46,22 @@
 	}},
 	{"worker crash", func(d *deployment, r *rand.Rand, duration time.Duration) {
 		w := d.workers[r.IntN(len(d.workers))]
-		w.Crash()
+		if r.IntN(2) == 0 {
+			w.CrashProcess()
+		} else {
+			w.Crash()
+		}
 		d.runAfter(duration, func() {
 			if l, up := w.Life(); !up {
 				w.Restart(spar.Life{ID: l.ID, Born: time.Now().UnixMilli()})
 			}
 		})
 	}},
+	{"worker shrinks", func(d *deployment, r *rand.Rand, duration time.Duration) {
+		w := d.workers[r.IntN(len(d.workers))]
+		w.Resize(spar.Size{CPUMilli: workerSize.CPUMilli * int64(r.IntN(4)) / 4, MemoryMB: workerSize.MemoryMB})
+		d.runAfter(duration, func() { w.Resize(workerSize) })
+	}},
 }
 
 // proxied returns a fault that applies rules to a random proxy for the duration.
--- a/shard/crash.go
+++ b/shard/crash.go
@@ -41,22 +41,28 @@
 	age time.Duration
 	// alone reports whether no other task on the worker had just been started.
 	alone bool
+	// silent reports that it is not known whether the worker crashed, since it was
+	// out of touch before. Such an end only counts to maxCrashes.
+	silent bool
 }
 
 // crashHistory holds the crashes that a task may have caused. The one of a gang is
 // kept by its first task.
 type crashHistory struct {
 	crashes []crash
-	// clearedRun is the last run that has shown that the task was not the cause of
-	// the crashes up to then.
+	// clearedRun is the last run before those that count: a later one has shown
+	// that the task was not the cause. dismissed are later runs that were lost in
+	// crashes with another cause. Agents report crashes again, also to the next
+	// owner, and not in their order.
 	clearedRun int64
+	dismissed  []int64
 	// suspectedAt is when this owner learnt of the last crash.
 	suspectedAt time.Time
 }
 
 // isSuspect reports whether the task must be kept apart when it starts next.
 func (h *crashHistory) isSuspect() bool {
-	return slices.ContainsFunc(h.crashes, func(c crash) bool { return c.age <= startingAge })
+	return slices.ContainsFunc(h.crashes, func(c crash) bool { return !c.silent && c.age <= startingAge })
 }
 
 // trialTime is how long a run of a suspect must last before another task may start
@@ -86,18 +92,28 @@
 	return len(nodes)
 }
 
-// mustGiveUp reports whether the task is taken for the cause of its crashes. Both
-// rules for few crashes demand two nodes, since one may crash by itself.
+// isSettled reports whether a crash was counted or dismissed for a run.
+func (h *crashHistory) isSettled(run int64) bool {
+	return run <= h.clearedRun || slices.Contains(h.dismissed, run) || slices.ContainsFunc(h.crashes, func(c crash) bool { return c.run == run })
+}
+
+// mustGiveUp reports whether the task is taken for the cause of its crashes. Two
+// crashes suffice only on two nodes, since one may crash by itself.
 func (h *crashHistory) mustGiveUp() bool {
 	return h.countAlone() >= maxCrashesAlone || h.hasRepeatedAlone() || len(h.crashes) >= maxCrashes
 }
 
-// hasRepeatedAlone reports whether a crash with the task alone came at the same age
-// as an earlier one on another node.
+// hasRepeatedAlone reports whether crashes came at the same age, one of them with the
+// task alone: two on two nodes with the later one alone, or three.
 func (h *crashHistory) hasRepeatedAlone() bool {
 	for i, c := range h.crashes {
+		alike, alone := 1, c.alone
 		for _, o := range h.crashes[:i] {
-			if c.alone && c.node != o.node && (c.age-o.age).Abs() <= ageTolerance {
+			if o.silent || c.silent || (c.age-o.age).Abs() > ageTolerance {
+				continue
+			}
+			alone = alone || o.alone
+			if alike++; alike >= 3 && alone || c.alone && c.node != o.node {
 				return true
 			}
 		}
@@ -126,23 +142,37 @@
 	return age <= startingAge && (!h.isSuspect() || age <= h.trialTime())
 }
 
-// add records a crash. It reports whether the history has changed: a crash may be
-// reported again, by every connection of the agent.
-func (h *crashHistory) add(c crash) bool {
-	if c.run <= h.clearedRun || slices.ContainsFunc(h.crashes, func(o crash) bool { return o.run == c.run }) {
-		return false
-	}
+// add counts a crash. A run that is older than those lost before clears the task of
+// their crashes.
+func (h *crashHistory) add(c crash) {
 	if c.age > maxCrashAge || len(h.crashes) > 0 && c.age > h.survivalAge() {
 		h.clear(c.run - 1)
 	}
-	if c.age <= maxCrashAge {
-		h.crashes = append(h.crashes, c)
+	if c.age > maxCrashAge {
+		h.dismiss(c.run)
+		return
 	}
-	return true
+	h.crashes = append(h.crashes, c)
 }
 
+// dismiss has a crash that is reported for a run not count.
+func (h *crashHistory) dismiss(run int64) {
+	if !h.isSettled(run) {
+		h.dismissed = append(h.dismissed, run)
+	}
+}
+
+// clear clears the task of the crashes of its runs up to one.
 func (h *crashHistory) clear(run int64) {
-	h.crashes, h.clearedRun = nil, max(h.clearedRun, run)
+	h.clearedRun = max(h.clearedRun, run)
+	h.crashes = slices.DeleteFunc(h.crashes, func(c crash) bool { return c.run <= run })
+	h.dismissed = slices.DeleteFunc(h.dismissed, func(d int64) bool { return d <= run })
+}
+
+// hasCrashedAtAge reports whether a run before the given one was lost at about the
+// same age.
+func (h *crashHistory) hasCrashedAtAge(run int64, age time.Duration) bool {
+	return slices.ContainsFunc(h.crashes, func(c crash) bool { return !c.silent && c.run < run && (c.age-age).Abs() <= ageTolerance })
 }
 
 // String describes the crashes for logs and callers.
@@ -186,10 +216,25 @@
 		}
 		if e.Crashed {
 			sc.recordCrash(node, e.Runs, now)
+			continue
+		}
+		for _, lost := range e.Runs {
+			sc.recordSilentEnd(sc.findTask(lost.Task), lost.Run, node, lost.Age, now)
 		}
 	}
 }
 
+// recordSilentEnd counts the end of a run with its worker's life if nothing tells
+// whether the worker crashed.
+func (sc *Scheduler) recordSilentEnd(t *task, run int64, node string, age time.Duration, now time.Time) {
+	if t == nil || t.done || t.step.job.hasEnded() || run > t.lastRun || t.history().isSettled(run) {
+		return
+	}
+	sc.markChanged(t.step.job)
+	t.history().add(crash{run: run, node: node, age: age, silent: true})
+	sc.judge(t, run, node, now)
+}
+
 // reserveAfterCrash keeps a worker that is back after a crash free for the trials of
 // the tasks that are suspected of it. It is the one on which another crash does the
 // least harm.
@@ -202,45 +247,70 @@
 	}
 }
 
-// recordCrash adds a crash to the histories of the tasks that were lost in it.
+// recordCrash counts a crash for the tasks that were lost in it.
 func (sc *Scheduler) recordCrash(node string, runs []link.LostRun, now time.Time) {
-	starting := map[*crashHistory]bool{}
-	unknown := 0
-	for _, lost := range runs {
-		switch t := sc.findTask(lost.Task); {
-		case t == nil && lost.Age <= startingAge:
-			unknown++
-		case t != nil && t.history().mayHaveCaused(lost.Age):
-			starting[t.history()] = true
-		}
-	}
-	alone := len(starting)+unknown == 1
+	causes, repeated := sc.possibleCauses(runs)
 	for _, lost := range runs {
 		t := sc.findTask(lost.Task)
-		if t == nil || t.done || t.step.job.hasEnded() || lost.Run > t.lastRun {
+		if t == nil || t.done || t.step.job.hasEnded() || lost.Run > t.lastRun || t.history().isSettled(lost.Run) {
 			continue
 		}
 		h := t.history()
-		if h.isSuspect() && lost.Age <= startingAge && !starting[h] {
-			// The trial of the task was over when another one crashed the worker.
+		sc.markChanged(t.step.job)
+		if (repeated || h.isSuspect() && lost.Age <= startingAge) && !causes[h] {
+			// Another task is known to be the cause, or the trial of this one was
+			// over when another one crashed the worker.
+			h.dismiss(lost.Run)
 			continue
 		}
-		if !h.add(crash{run: lost.Run, node: node, age: lost.Age, alone: alone && starting[h]}) {
-			continue
+		age := lost.Age
+		if lost.Unconfirmed {
+			age = min(age, startingAge)
 		}
-		sc.markChanged(t.step.job)
-		if len(h.crashes) == 0 {
-			continue
+		h.add(crash{run: lost.Run, node: node, age: age, alone: causes[h] && len(causes) == 1})
+		sc.judge(t, lost.Run, node, now)
+	}
+}
+
+// possibleCauses returns the histories of the tasks that had just been started when
+// they were lost in a crash, by what is known of them, or else by startingAge.
+// repeated reports that there is one alone and that it has been lost at the same age
+// before, so that it is the cause.
+func (sc *Scheduler) possibleCauses(runs []link.LostRun) (causes map[*crashHistory]bool, repeated bool) {
+	causes, starting := map[*crashHistory]bool{}, map[*crashHistory]bool{}
+	for _, lost := range runs {
+		h := &crashHistory{}
+		if t := sc.findTask(lost.Task); t != nil {
+			h = t.history()
 		}
-		sc.suspects[t], h.suspectedAt = true, now
-		sc.clearIfSurvived(t)
-		if h.isSuspect() {
-			sc.onEvent(Event{Name: "task suspected", Task: t.ref().String(), Run: lost.Run, Node: node, Reason: fmt.Sprintf("%d crashes, %d alone: %s", len(h.crashes), h.countAlone(), h)})
+		if lost.Unconfirmed || lost.Age <= startingAge {
+			starting[h] = true
 		}
-		if h.mustGiveUp() {
-			sc.giveUp(t, now)
+		if lost.Unconfirmed || h.mayHaveCaused(lost.Age) {
+			causes[h] = true
+			repeated = !lost.Unconfirmed && h.hasCrashedAtAge(lost.Run, lost.Age)
 		}
 	}
+	if len(causes) == 0 {
+		return starting, false
+	}
+	return causes, repeated && len(causes) == 1
+}
+
+// judge suspects, clears or gives up a task after a crash was counted for it.
+func (sc *Scheduler) judge(t *task, run int64, node string, now time.Time) {
+	h := t.history()
+	if len(h.crashes) == 0 {
+		return
+	}
+	sc.suspects[t], h.suspectedAt = true, now
+	sc.clearIfSurvived(t)
+	if h.isSuspect() {
+		sc.onEvent(Event{Name: "task suspected", Task: t.ref().String(), Run: run, Node: node, Reason: fmt.Sprintf("%d crashes, %d alone: %s", len(h.crashes), h.countAlone(), h)})
+	}
+	if h.mustGiveUp() {
+		sc.giveUp(t, now)
+	}
 }
 
 // giveUp ends the job of a task that crashes its workers as failed.
--- a/shard/crash_record.go
+++ b/shard/crash_record.go
@@ -21,16 +21,18 @@
 }
 
 type taskCrashes struct {
-	Task    spar.TaskRef  `msgpack:"t"`
-	Cleared int64         `msgpack:"c,omitempty"`
-	Crashes []storedCrash `msgpack:"l,omitempty"`
+	Task      spar.TaskRef  `msgpack:"t"`
+	Cleared   int64         `msgpack:"c,omitempty"`
+	Dismissed []int64       `msgpack:"d,omitempty"`
+	Crashes   []storedCrash `msgpack:"l,omitempty"`
 }
 
 type storedCrash struct {
-	Run   int64         `msgpack:"r"`
-	Node  string        `msgpack:"n"`
-	Age   time.Duration `msgpack:"a"`
-	Alone bool          `msgpack:"o,omitempty"`
+	Run    int64         `msgpack:"r"`
+	Node   string        `msgpack:"n"`
+	Age    time.Duration `msgpack:"a"`
+	Alone  bool          `msgpack:"o,omitempty"`
+	Silent bool          `msgpack:"s,omitempty"`
 }
 
 // crashRecord returns the record of a job's crashes, with an empty value if there
@@ -62,12 +64,12 @@
 }
 
 func (c *crashRecord) addTask(t *task) {
-	if len(t.crashes) == 0 && t.clearedRun == 0 {
+	if len(t.crashes) == 0 && t.clearedRun == 0 && len(t.dismissed) == 0 {
 		return
 	}
-	tc := taskCrashes{Task: t.ref(), Cleared: t.clearedRun}
+	tc := taskCrashes{Task: t.ref(), Cleared: t.clearedRun, Dismissed: t.dismissed}
 	for _, o := range t.crashes {
-		tc.Crashes = append(tc.Crashes, storedCrash{Run: o.run, Node: o.node, Age: o.age, Alone: o.alone})
+		tc.Crashes = append(tc.Crashes, storedCrash{Run: o.run, Node: o.node, Age: o.age, Alone: o.alone, Silent: o.silent})
 	}
 	c.Tasks = append(c.Tasks, tc)
 }
@@ -91,9 +93,9 @@
 		if t == nil {
 			return errors.Newf("restore crashes of job %s: the job has no task %s", id, tc.Task)
 		}
-		t.clearedRun = tc.Cleared
+		t.clearedRun, t.dismissed = tc.Cleared, tc.Dismissed
 		for _, o := range tc.Crashes {
-			t.crashes = append(t.crashes, crash{run: o.Run, node: o.Node, age: o.Age, alone: o.Alone})
+			t.crashes = append(t.crashes, crash{run: o.Run, node: o.Node, age: o.Age, alone: o.Alone, silent: o.Silent})
 			sc.suspects[t] = true
 		}
 	}
--- a/shard/report.go
+++ b/shard/report.go
@@ -192,6 +192,7 @@
 		}
 		sc.onEvent(Event{Name: "run not found", Task: r.task.ref().String(), Run: r.number, Node: w.node})
 		r.task.notBefore = now
+		r.task.history().dismiss(r.number)
 		sc.removeRun(r)
 	}
 	w.listed = true
--- a/stand/worker/client.go
+++ b/stand/worker/client.go
@@ -54,11 +54,11 @@
 }
 
 // order runs call under the faults in force.
-func order[T any](ctx context.Context, c *Client, call func() (T, error)) (T, error) {
+func order[T any](ctx context.Context, c *Client, call func(late bool) (T, error)) (T, error) {
 	var zero T
 	unreachable, late, lateBy := c.drawFaults()
 	if late {
-		time.AfterFunc(lateBy, func() { _, _ = call() })
+		time.AfterFunc(lateBy, func() { _, _ = call(true) })
 	}
 	if unreachable || late {
 		return zero, delay.NoAnswer(ctx, callee, noAnswerTimeout)
@@ -66,7 +66,7 @@
 	if err := delay.Sleep(ctx, callee, time.Millisecond); err != nil {
 		return zero, err
 	}
-	out, err := call()
+	out, err := call(false)
 	if errors.Is(err, spar.ErrUnknown) && !errors.Is(err, spar.ErrDisconnected) {
 		return zero, delay.NoAnswer(ctx, callee, noAnswerTimeout)
 	}
@@ -75,12 +75,12 @@
 
 // Start implements spar.Worker.
 func (c *Client) Start(ctx context.Context, t spar.Target, o spar.StartOrder) (spar.StartResult, error) {
-	return order(ctx, c, func() (spar.StartResult, error) { return c.worker.Start(t, o) })
+	return order(ctx, c, func(late bool) (spar.StartResult, error) { return c.worker.start(t, o, late) })
 }
 
 // Stop implements spar.Worker.
 func (c *Client) Stop(ctx context.Context, t spar.Target, task spar.TaskRef, run int64) error {
-	_, err := order(ctx, c, func() (struct{}, error) { return struct{}{}, c.worker.Stop(t, task, run) })
+	_, err := order(ctx, c, func(bool) (struct{}, error) { return struct{}{}, c.worker.Stop(t, task, run) })
 	return err
 }
 
@@ -90,7 +90,7 @@
 // Hold implements spar.Worker.
 func (c *Client) Hold(ctx context.Context, t spar.Target, acked, until int64, wait time.Duration) (spar.RunLists, error) {
 	var changed <-chan struct{}
-	l, err := order(ctx, c, func() (l spar.RunLists, err error) {
+	l, err := order(ctx, c, func(bool) (l spar.RunLists, err error) {
 		l, changed, err = c.worker.Hold(t, acked, until)
 		return l, err
 	})
@@ -98,7 +98,7 @@
 		return l, err
 	}
 	delay.AwaitSignal(ctx, wait, changed)
-	return order(ctx, c, func() (spar.RunLists, error) {
+	return order(ctx, c, func(bool) (spar.RunLists, error) {
 		l, _, err := c.worker.Hold(t, acked, until)
 		return l, err
 	})
--- a/stand/worker/worker.go
+++ b/stand/worker/worker.go
@@ -43,6 +43,12 @@
 	workload Workload
 	checker  *InvariantChecker
 
+	// unguarded reports that the worker starts runs beyond its size.
+	unguarded bool
+	// sizeBefore is the size before it last shrank, at shrunkAt.
+	sizeBefore spar.Size
+	shrunkAt   time.Time
+
 	life spar.Life
 	up   bool
 	// crashed reports that the worker is down since its process crashed, so that
@@ -92,7 +98,32 @@
 }
 
 // Size returns the worker's size.
-func (w *Worker) Size() spar.Size { return w.size }
+func (w *Worker) Size() spar.Size {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.size
+}
+
+// Resize changes the size of the worker while it runs.
+func (w *Worker) Resize(s spar.Size) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.size.Fits(s) {
+		w.sizeBefore, w.shrunkAt = w.size, time.Now()
+	}
+	w.size = s
+}
+
+// SetUnguarded has the worker start runs beyond its size.
+func (w *Worker) SetUnguarded() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unguarded = true
+}
+
+// resizeGrace is how long after it has shrunk a worker may be given runs by its
+// former size: it covers two heartbeats, and the orders that are on their way.
+const resizeGrace = 1500 * time.Millisecond
 
 // Crash ends the life and drops its runs without listing their ends.
 func (w *Worker) Crash() {
@@ -102,6 +133,7 @@
 	w.up = false
 	for t, r := range w.runs {
 		w.checker.end(t, r.number, w.node, spar.EndLapsed)
+		w.checker.lose(t)
 	}
 	w.runs = map[spar.TaskRef]*run{}
 }
@@ -135,6 +167,7 @@
 	w.checker.crash(t)
 	for o, r := range w.runs {
 		w.checker.end(o, r.number, w.node, EndCrash)
+		w.checker.lose(o)
 	}
 	w.runs = map[spar.TaskRef]*run{}
 	w.markCrashed()
@@ -226,6 +259,11 @@
 
 // Start carries out a start order.
 func (w *Worker) Start(t spar.Target, o spar.StartOrder) (spar.StartResult, error) {
+	return w.start(t, o, false)
+}
+
+// start carries out a start order; late reports that it was given long ago.
+func (w *Worker) start(t spar.Target, o spar.StartOrder, late bool) (spar.StartResult, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.endDueRuns()
@@ -249,8 +287,14 @@
 	for r := range w.runs {
 		used = used.Add(w.sizeOf(r))
 	}
-	if !used.Fits(w.size) {
+	// An order for an earlier life of the same name meets a size that nobody can
+	// know yet.
+	switch {
+	case used.Fits(w.size):
+	case !w.unguarded:
 		return spar.StartNoRoom, nil
+	case !late && t.Life.Born == w.life.Born && (time.Since(w.shrunkAt) > resizeGrace || !used.Fits(w.sizeBefore)):
+		w.checker.overfill(o.Task, o.Run, w.node, used, w.size, time.Since(w.shrunkAt))
 	}
 	duration, ending := w.workload(o.Task, o.Run)
 	w.runs[o.Task] = &run{number: o.Run, started: time.Now(), finishAt: time.Now().Add(duration), ending: ending}
