One damaged record, message or request no longer ends a process

Found: a record or message whose array length is damaged made the MessagePack library allocate for that length before it read an element. The process ran out of memory; a record would have done that to each owner that reads it. Change: package codec checks that the data holds a whole value before it is decoded; all stored records and session messages go through it.

By reading: fasthttp does not recover a panic of a handler, so that one request could end an entry and be repeated at the next. Handlers of callers, heartbeats and the admin address answer 500 now, with a log line and a counter. No such panic is known.

--- a/agent/batch/app.go
+++ b/agent/batch/app.go
@@ -108,7 +108,7 @@
 	d.Info("agent starts", "name", p.Settings.Name, "domain", p.Settings.Domain, "control", p.Settings.Control)
 	r := router.New()
 	p.Heartbeats.Routes(r)
-	ends := []<-chan error{p.Executor.Run(ctx), metrics, common.ServeFastHTTP(ctx, l, r.Handler, maxHeartbeatBytes)}
+	ends := []<-chan error{p.Executor.Run(ctx), metrics, common.ServeFastHTTP(ctx, l, d.Recovering(r.Handler), maxHeartbeatBytes)}
 	d.AwaitStop(ctx)
 	d.Info("agent stops")
 	d.AwaitShutdown(ends)
--- a/common/admin.go
+++ b/common/admin.go
@@ -20,5 +20,5 @@
 	if add != nil {
 		add(r)
 	}
-	return ServeFastHTTP(ctx, l, r.Handler, maxHeaderBytes), nil
+	return ServeFastHTTP(ctx, l, b.Common.Recovering(r.Handler), maxHeaderBytes), nil
 }
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -87,7 +87,7 @@
 
 // Serve serves callers on a listener until the context ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) <-chan error {
-	return common.ServeFastHTTP(ctx, l, func(c *fasthttp.RequestCtx) { s.handle(ctx, c) }, maxBodyBytes)
+	return common.ServeFastHTTP(ctx, l, s.Recovering(func(c *fasthttp.RequestCtx) { s.handle(ctx, c) }), maxBodyBytes)
 }
 
 // ServeReady answers the balancer's health checks on a listener until the context
--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -52,8 +52,8 @@
 
 // reply is the answer to another entry's query.
 type reply struct {
-	State   shard.State `json:"state,omitempty"`
-	Known   bool        `json:"known,omitempty"`
+	State shard.State `json:"state,omitempty"`
+	Known bool        `json:"known,omitempty"`
 	// Failure says why a job has failed.
 	Failure string `json:"failure,omitempty"`
 	Waiting int    `json:"waiting,omitempty"`
--- a/interf/stored.go
+++ b/interf/stored.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/berylspar/spar/codec"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -27,8 +28,8 @@
 
 // Decode restores a model from its stored form.
 func Decode(value []byte) (Model, error) {
-	var rows []row
-	if err := msgpack.Unmarshal(value, &rows); err != nil {
+	rows, err := codec.Decode[[]row](value)
+	if err != nil {
 		return Model{}, errors.Wrap(err, "decode interference model")
 	}
 	m := Model{costs: map[imagePair]*costEstimate{}}
--- a/link/conn.go
+++ b/link/conn.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/berylspar/spar/codec"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -81,11 +82,8 @@
 	if _, err := io.ReadFull(c.reader, body); err != nil {
 		return nil, errors.Wrap(err, "receive frame body")
 	}
-	m := new(In)
-	if err := msgpack.Unmarshal(body, m); err != nil {
-		return nil, errors.Wrapf(err, "decode message %T", m)
-	}
-	return m, nil
+	m, err := codec.Decode[In](body)
+	return &m, err
 }
 
 // Close ends the connection; a Receive in progress fails.
--- a/link/record.go
+++ b/link/record.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"github.com/berylspar/spar/codec"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -36,7 +37,6 @@
 
 // DecodeEntryRecord decodes the stored form.
 func DecodeEntryRecord(value []byte) (EntryRecord, error) {
-	var r EntryRecord
-	err := msgpack.Unmarshal(value, &r)
+	r, err := codec.Decode[EntryRecord](value)
 	return r, errors.Wrap(err, "decode entry record")
 }
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/codec"
 	"github.com/berylspar/spar/link"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -203,8 +204,8 @@
 // DecodeJob reads the stored form of a submitted job. It rejects a job that an
 // entry should not have accepted, which may come from another build.
 func DecodeJob(value []byte) (spar.Job, error) {
-	var j spar.Job
-	if err := msgpack.Unmarshal(value, &j); err != nil {
+	j, err := codec.Decode[spar.Job](value)
+	if err != nil {
 		return j, errors.Wrap(err, "decode submitted job")
 	}
 	return j, errors.Wrapf(j.Check(), "stored job %s", j.ID)
--- a/shard/crash_record.go
+++ b/shard/crash_record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/codec"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -82,8 +83,8 @@
 		sc.droppedCrashes = append(sc.droppedCrashes, id)
 		return nil
 	}
-	var c crashRecord
-	if err := msgpack.Unmarshal(value, &c); err != nil {
+	c, err := codec.Decode[crashRecord](value)
+	if err != nil {
 		return errors.Wrapf(err, "decode crashes of job %s", id)
 	}
 	j.failure, j.crashesStored = c.Failure, true
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/codec"
 	"github.com/berylspar/spar/interf"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -102,8 +103,8 @@
 	if j == nil {
 		return errors.Newf("restore progress of job %s: the job is not among the submissions", id)
 	}
-	var p progress
-	if err := msgpack.Unmarshal(value, &p); err != nil {
+	p, err := codec.Decode[progress](value)
+	if err != nil {
 		return errors.Wrapf(err, "decode progress of job %s", id)
 	}
 	j.state, j.reportedState, j.started = p.State, p.State, p.Begun
