Shard: one look-up of a task, and one test whether a crash may still count

findTask came with the crash reports beside two places that did the same by hand (findRun, findStep); they call it now. The condition under which a lost run may still be counted stood twice in crash.go, for crashes and for ends in silence.

--- a/shard/advice.go
+++ b/shard/advice.go
@@ -125,11 +125,7 @@
 
 // findStep returns the named step, or nil if it is unknown.
 func (sc *Scheduler) findStep(r spar.StepRef) *step {
-	j := sc.jobs[r.Job]
-	if j == nil {
-		return nil
-	}
-	if t := j.findTask(spar.TaskRef{Job: r.Job, Occur: r.Occur, Step: r.Step}); t != nil {
+	if t := sc.findTask(spar.TaskRef{Job: r.Job, Occur: r.Occur, Step: r.Step}); t != nil {
 		return t.step
 	}
 	return nil
--- a/shard/crash.go
+++ b/shard/crash.go
@@ -43,20 +43,23 @@
 			continue
 		}
 		for _, lost := range e.Runs {
-			sc.recordSilentEnd(sc.findTask(lost.Task), lost.Run, node, lost.Age, now)
+			if t := sc.countableTask(lost); t != nil {
+				sc.markChanged(t.step.job)
+				t.history().add(crash{run: lost.Run, node: node, age: lost.Age, silent: true})
+				sc.judge(t, lost.Run, node, now)
+			}
 		}
 	}
 }
 
-// recordSilentEnd counts the end of a run with its worker's life if nothing tells
-// whether the worker crashed.
-func (sc *Scheduler) recordSilentEnd(t *task, run int64, node string, age time.Duration, now time.Time) {
-	if t == nil || t.done || t.step.job.hasEnded() || run > t.lastRun || t.history().isSettled(run) {
-		return
+// countableTask returns the task of a lost run that a crash may still be counted for, or
+// nil if the task has ended or the run was counted or dismissed before.
+func (sc *Scheduler) countableTask(lost link.LostRun) *task {
+	t := sc.findTask(lost.Task)
+	if t == nil || t.done || t.step.job.hasEnded() || lost.Run > t.lastRun || t.history().isSettled(lost.Run) {
+		return nil
 	}
-	sc.markChanged(t.step.job)
-	t.history().add(crash{run: run, node: node, age: age, silent: true})
-	sc.judge(t, run, node, now)
+	return t
 }
 
 // reserveAfterCrash keeps a worker that is back after a crash free for the trials of
@@ -75,8 +78,8 @@
 func (sc *Scheduler) recordCrash(node string, runs []link.LostRun, now time.Time) {
 	causes, repeated := sc.possibleCauses(runs)
 	for _, lost := range runs {
-		t := sc.findTask(lost.Task)
-		if t == nil || t.done || t.step.job.hasEnded() || lost.Run > t.lastRun || t.history().isSettled(lost.Run) {
+		t := sc.countableTask(lost)
+		if t == nil {
 			continue
 		}
 		h := t.history()
--- a/shard/report.go
+++ b/shard/report.go
@@ -116,11 +116,7 @@
 // findRun returns a run on a worker, or nil if it is unknown or on another
 // worker.
 func (sc *Scheduler) findRun(w *worker, ref spar.TaskRef, number int64) *run {
-	j := sc.jobs[ref.Job]
-	if j == nil {
-		return nil
-	}
-	t := j.findTask(ref)
+	t := sc.findTask(ref)
 	if t == nil {
 		return nil
 	}
