--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -79,6 +79,9 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	stopped bool
+	// away is how long the process is away after its next end, if it is not
+	// restartDelay.
+	away time.Duration
 }
 
 type rig struct {
@@ -263,7 +266,11 @@
 		err := c.Wait()
 		out.Close()
 		p.r.note("process ended", "name", p.name, "state", err)
-		time.AfterFunc(restartDelay, p.start)
+		p.mu.Lock()
+		delay := max(p.away, restartDelay)
+		p.away = 0
+		p.mu.Unlock()
+		time.AfterFunc(delay, p.start)
 	}()
 }
 
@@ -339,13 +346,15 @@
 	r.noteLocked("end", "task", k.task, "run", k.run, "node", w.node, "how", how)
 }
 
-func (r *rig) endAcked(w *worker, e endRow) {
+// endAcked records that an end is taken note of. It is not if the lease lapsed
+// between the two.
+func (r *rig) endAcked(w *worker, e endRow, lapsed time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n := r.byKey[keyOf(w, e.runKey)]; n != nil {
-		n.acked = true
+		n.acked = !lapsed.After(n.end)
+		r.noteLocked("end noted", "task", e.task, "run", e.run, "node", w.node, "how", e.how, "lease_lapsed_between", !n.acked)
 	}
-	r.noteLocked("end noted", "task", e.task, "run", e.run, "node", w.node, "how", e.how)
 }
 
 func (r *rig) runGone(w *worker, k runKey) {
@@ -485,7 +494,7 @@
 		fail(fmt.Errorf("usage: rig SCRIPT FOLDER"))
 	}
 	scripts := map[string]func(*rig) []string{
-		"dropped": dropped, "large": large, "cancelled": cancelled, "crashing": crashing, "images": images,
+		"dropped": dropped, "large": large, "cancelled": cancelled, "crashing": crashing, "images": images, "listing": listing,
 	}
 	script := scripts[os.Args[1]]
 	if script == nil {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -48,15 +48,17 @@
 	room       size
 	server     *http.Server
 
-	mu      sync.Mutex
-	up      bool
-	id      string
-	born    int64
-	began   time.Time
-	seq     int64
-	lives   int
-	token   int64
-	until   time.Time
+	mu    sync.Mutex
+	up    bool
+	id    string
+	born  int64
+	began time.Time
+	seq   int64
+	lives int
+	token int64
+	until time.Time
+	// lapsed is when the lease was last found to have lapsed.
+	lapsed  time.Time
 	running map[runKey]*taskRun
 	highest map[string]int64
 	ended   []endRow
@@ -76,7 +78,7 @@
 	defer w.mu.Unlock()
 	w.lives++
 	w.id, w.born, w.began = fmt.Sprintf("i-%s-%d", w.node[len(w.node)-1:]+"f3a91c", w.lives), time.Now().UnixMilli(), time.Now()
-	w.seq, w.token, w.lastEnd, w.until = 0, 0, 0, time.Time{}
+	w.seq, w.token, w.lastEnd, w.until, w.lapsed = 0, 0, 0, time.Time{}, time.Time{}
 	w.running, w.highest, w.ended, w.changed = map[runKey]*taskRun{}, map[string]int64{}, nil, make(chan struct{})
 	w.up = true
 	m := http.NewServeMux()
@@ -172,10 +174,18 @@
 	}
 }
 
+// checkLease notes whether the lease has lapsed. w.mu is held.
+func (w *worker) checkLease() {
+	if time.Now().After(w.until) {
+		w.lapsed = time.Now()
+	}
+}
+
 func (w *worker) watchLease(life int) {
 	for w.alive(life) && w.r.ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
 		w.mu.Lock()
+		w.checkLease()
 		if len(w.running) > 0 && time.Now().After(w.until) {
 			for k := range w.running {
 				w.end(k, "lapsed")
@@ -345,11 +355,12 @@
 		return
 	}
 	w.token = b.Token
+	w.checkLease()
 	if b.Until > 0 {
 		w.extend(b.Until)
 	}
 	for len(w.ended) > 0 && w.ended[0].n <= b.Acked {
-		w.r.endAcked(w, w.ended[0])
+		w.r.endAcked(w, w.ended[0], w.lapsed)
 		w.ended = w.ended[1:]
 	}
 	changed, waits := w.changed, len(w.ended) == 0 && b.Wait > 0
