--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -28,6 +28,8 @@
 	prefix  = "/jobs/"
 	// targetMS is the target of tasks that serve, and tailMS what they reach.
 	targetMS, tailMS = 45, 12
+	// contactTime is the site's contactMs.
+	contactTime = 3 * time.Second
 	// restartDelay is how long the platform takes to start a process again.
 	restartDelay = 300 * time.Millisecond
 )
@@ -79,6 +81,8 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	stopped bool
+	// disturbed is when the process was last killed or started.
+	disturbed time.Time
 	// away is how long the process is away after its next end, if it is not
 	// restartDelay.
 	away time.Duration
@@ -106,6 +110,8 @@
 	crashes map[string]int
 	// crashBack is how long a worker is away after a crash under a task.
 	crashBack time.Duration
+	// crashed is called after a crash under a task.
+	crashed func(*worker)
 }
 
 func (r *rig) note(what string, kv ...any) {
@@ -260,7 +266,7 @@
 	if err := c.Start(); err != nil {
 		fail(err)
 	}
-	p.cmd = c
+	p.cmd, p.disturbed = c, time.Now()
 	p.r.note("process starts", "name", p.name, "pid", c.Process.Pid)
 	go func() {
 		err := c.Wait()
@@ -277,6 +283,7 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.disturbed = time.Now()
 	p.r.note("signal", "to", p.name, "signal", s)
 	_ = p.cmd.Process.Signal(s)
 }
@@ -319,12 +326,24 @@
 	return work{size: size{1, 1}, takes: time.Second}
 }
 
+// inTouch reports whether the process on a machine ran undisturbed for contactTime.
+func (r *rig) inTouch(node string) bool {
+	for _, p := range r.agents {
+		if p.name == node {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return time.Since(p.disturbed) > contactTime
+		}
+	}
+	return false
+}
+
 func keyOf(w *worker, k runKey) string { return fmt.Sprintf("%s/%s/%d", w.node, k.task, k.run) }
 
 func (r *rig) runStarted(w *worker, k runKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := &run{worker: w.node, task: k.task, number: k.run, start: time.Now()}
+	n := &run{worker: w.node, task: k.task, number: k.run, start: time.Now(), inTouch: r.inTouch(w.node)}
 	for _, o := range r.runs {
 		if o.task != k.task {
 			continue
@@ -378,6 +397,9 @@
 	}
 	r.mu.Unlock()
 	w.crash(r.crashBack, "task "+k.task)
+	if r.crashed != nil {
+		go r.crashed(w)
+	}
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -494,7 +516,7 @@
 		fail(fmt.Errorf("usage: rig SCRIPT FOLDER"))
 	}
 	scripts := map[string]func(*rig) []string{
-		"dropped": dropped, "large": large, "cancelled": cancelled, "crashing": crashing, "images": images, "listing": listing,
+		"dropped": dropped, "large": large, "cancelled": cancelled, "crashing": crashing, "images": images, "listing": listing, "unseen": unseen,
 	}
 	script := scripts[os.Args[1]]
 	if script == nil {
