--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -70,6 +70,8 @@
 	afterDone  bool
 	overlaps   bool
 	crashed    bool
+	// inTouch reports whether the machine that started the run was in touch.
+	inTouch bool
 }
 
 type process struct {
@@ -341,9 +343,10 @@
 func keyOf(w *worker, k runKey) string { return fmt.Sprintf("%s/%s/%d", w.node, k.task, k.run) }
 
 func (r *rig) runStarted(w *worker, k runKey) {
+	inTouch := r.inTouch(w.node)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := &run{worker: w.node, task: k.task, number: k.run, start: time.Now(), inTouch: r.inTouch(w.node)}
+	n := &run{worker: w.node, task: k.task, number: k.run, start: time.Now(), inTouch: inTouch}
 	for _, o := range r.runs {
 		if o.task != k.task {
 			continue
