--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,5 +4,4 @@
 export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/rig ] || exit 2
-exec ../bin/rig 
-large .
+exec ../bin/rig large .
