--- a/review/rig/rig.go
+++ b/review/rig/rig_test.go
@@ -1,7 +1,7 @@
-// Package main plays the scripts of this review. It starts the entries and agents
+// Package rig plays the scripts of this review. It starts the entries and agents
 // of a small deployment as separate processes, with the commands of the deploy
 // file, and stands in for the store, the workers and the clients.
-package main
+package rig
 
 import (
 	"bytes"
@@ -19,6 +19,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -514,7 +515,9 @@
 	return out
 }
 
-func main() {
+// TestMain plays the script named by the first argument, in the folder named by the
+// second, in place of tests.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 {
 		fail(fmt.Errorf("usage: rig SCRIPT FOLDER"))
 	}
