--- a/review/rig/scripts_test.go
+++ b/review/rig/scripts_test.go
@@ -132,7 +132,7 @@
 // cancelled: a worker leaves its orders without an answer for some seconds and does
 // not carry them out. Jobs that are cancelled meanwhile must not start afterwards.
 func cancelled(r *rig) []string {
-	r.deploy(3, 3, size{64000, 250000}, nil)
+	r.deploy(3, 11, size{64000, 250000}, nil)
 	start := time.Now()
 	w := r.workers[0]
 	w.mute = func(path string) bool {
@@ -145,7 +145,7 @@
 	sleepTo(start, 8.3)
 	var jobs []*job
 	for range 6 {
-		jobs = append(jobs, r.submit(12, work{size: size{960, 1900}, takes: 3 * time.Second}))
+		jobs = append(jobs, r.submit(36, work{size: size{960, 1900}, takes: 3 * time.Second}))
 	}
 	sleepTo(start, 9)
 	for _, j := range jobs {
@@ -239,14 +239,15 @@
 // listing: the process beside a worker is killed, and is back after 2.2 s, while the
 // runs of a large job end there. No finished task may start again. Three rounds.
 func listing(r *rig) []string {
-	r.deploy(3, 3, size{64000, 250000}, nil)
+	r.deploy(3, 7, size{64000, 250000}, nil)
 	start := time.Now()
+	r.store.tooLarge = func(topic string, n int) { r.note("the store refuses a record", "topic", topic, "bytes", n) }
 	feed := r.feed(start, 38, 500*time.Millisecond, 4, work{size: size{500, 256}, takes: 500 * time.Millisecond})
 	for round := range 3 {
 		sleepTo(start, 3+12*float64(round))
-		j := r.submit(1800, work{size: size{100, 64}, takes: 2 * time.Second})
+		j := r.submit(3850, work{size: size{100, 64}, takes: 2 * time.Second})
 		w, p := r.workers[round], r.agents[round]
-		for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end) && r.runningOf(w, j) < 540; {
+		for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end) && r.runningOf(w, j) < 530; {
 			time.Sleep(5 * time.Millisecond)
 		}
 		r.note("the large job runs", "job", j.id, "node", w.node, "runs", r.runningOf(w, j))
