Agent: the lists of a session are complete with the last page of ends

Cause: a worker lists 500 ends in one answer and the others after these are acknowledged. The agent called its first answer the complete list of the session, and the owner removed each run of earlier sessions that was on neither list and started its task again. Evidence: the owner logs 'run not found' for these runs in the instant of the listing and 'run ended' for the same runs some milliseconds later. Ruled out: a lapsed lease (none lapsed), a late order (the second starts were new orders of the same owner).

Change: the adapter tells whether ends may be missing. The agent sends page after page, with heartbeats, and calls the lists complete with the last one. Until then the owner keeps the runs that it has not seen, counts their room and places nothing on the worker. A stopped run is reported as never started only by lists without missing ends. Stops are ordered again with the first list of a session, since the complete one may come later.

--- a/agent/exec/life.go
+++ b/agent/exec/life.go
@@ -87,7 +87,7 @@
 }
 
 // recordFencedLists applies the worker's lists under a new fencing token. Runs that
-// are on neither never start any more.
+// are not in progress have ended, listed or not, or never start any more.
 func (l *lifeRecord) recordFencedLists(lists spar.RunLists, now time.Duration) {
 	l.recordLists(lists, now)
 	listed := map[runKey]bool{}
--- a/agent/exec/report.go
+++ b/agent/exec/report.go
@@ -10,8 +10,8 @@
 
 // resolveStoppedRuns queues the outcome StartNever for stopped runs that are on
 // neither list. They never started, and the worker will refuse to start them.
-// Only lists requested after the stop was answered are conclusive; number is
-// that of l.
+// Only lists requested after the stop was answered are conclusive, and only
+// without ends that the worker has yet to list; number is that of l.
 func (s *session) resolveStoppedRuns(l spar.RunLists, number int64) {
 	listed := map[runKey]bool{}
 	for _, r := range l.Running {
@@ -23,7 +23,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, listNumber := range s.stoppedRuns {
-		if number <= listNumber {
+		if number <= listNumber || l.MoreEnds && !listed[k] {
 			continue
 		}
 		delete(s.stoppedRuns, k)
@@ -34,11 +34,15 @@
 	}
 }
 
-// reportLists sends the changes in the worker's lists to the owner, or the whole
-// lists if full is set. The message carries a heartbeat when one is due.
-func (s *session) reportLists(l spar.RunLists, full bool) error {
-	m := &link.AgentMessage{Complete: full}
+// reportLists sends the changes in the worker's lists to the owner. Until the
+// worker has listed all ends it sends the whole list of running runs, and with the
+// last ends that the lists are complete. A run that is on neither list before that
+// may have ended. The message carries a heartbeat when one is due.
+func (s *session) reportLists(l spar.RunLists) error {
 	s.mu.Lock()
+	full := !s.complete
+	s.complete = s.complete || !l.MoreEnds
+	m := &link.AgentMessage{Complete: full && s.complete}
 	now := time.Now()
 	running := make(map[spar.TaskRef]spar.Running, len(l.Running))
 	for _, r := range l.Running {
@@ -56,7 +60,7 @@
 	if n := len(l.Ended); n > 0 {
 		s.reportedEnd = max(s.reportedEnd, l.Ended[n-1].Number)
 	}
-	if full || now.Sub(s.lastHeartbeat) >= heartbeatInterval {
+	if m.Complete || now.Sub(s.lastHeartbeat) >= heartbeatInterval {
 		s.heartbeatNumber++
 		s.lastHeartbeat = now
 		s.ungranted[s.heartbeatNumber] = sentHeartbeat{workerClock: l.Clock, sentAt: s.clock()}
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -52,7 +52,10 @@
 	acked           int64
 	reportedEnd     int64
 	reportedRunning map[spar.TaskRef]spar.Running
-	outcomes        []link.StartOutcome
+	// complete reports that the ends were listed to the last one under the
+	// session's token, and that the owner was told so.
+	complete bool
+	outcomes []link.StartOutcome
 	// stoppedRuns holds the runs whose stop was answered, with the number of the
 	// last hold call made before the answer. The lists of a later call show
 	// whether the run had started.
@@ -104,7 +107,7 @@
 		// A previous agent process may have extended leases until just now.
 		s.leasedLife, s.leaseEnd = s.target.Life, s.clock()+s.lease
 	}
-	if err := s.reportLists(lists, true); err != nil {
+	if err := s.reportLists(lists); err != nil {
 		return err
 	}
 	ends := []<-chan error{s.receive(ctx), s.hold(ctx), s.sendOutcomes(ctx), s.watchWorkerAndOwner(ctx)}
@@ -199,7 +202,7 @@
 		}
 		failures, deliveredAck = 0, acked
 		s.resolveStoppedRuns(l, number)
-		if err := s.reportLists(l, false); err != nil {
+		if err := s.reportLists(l); err != nil {
 			return err
 		}
 		if len(l.Ended) > 0 {
--- a/link/messages.go
+++ b/link/messages.go
@@ -26,9 +26,10 @@
 	WorkerLeft bool `msgpack:"q,omitempty"`
 	// Heartbeat is the number of the agent's heartbeat, from 1.
 	Heartbeat int64 `msgpack:"b,omitempty"`
-	// Complete reports that Running and Ended hold everything that is on the
-	// worker. It is set in the first message after the worker was listed under
-	// the session's token.
+	// Complete reports that Running holds all runs in progress, and that Ended and
+	// the earlier messages of the session hold all ends. It is set once, in the
+	// message with the last ends that the worker has listed under the session's
+	// token.
 	Complete bool           `msgpack:"l,omitempty"`
 	Running  []spar.Running `msgpack:"r,omitempty"`
 	// Ended holds the ends of runs that this connection has not carried before.
--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -86,6 +86,8 @@
 const (
 	queue = "work"
 	topic = "op"
+	// fewEndsPerCall has some workers list fewer ends than they often have.
+	fewEndsPerCall = 2
 )
 
 var workerSize = spar.Size{CPUMilli: 4000, MemoryMB: 8000}
@@ -109,6 +111,9 @@
 		if i%2 == 0 {
 			n.worker.SetUnguarded()
 		}
+		if i%3 == 0 {
+			n.worker.SetEndsPerCall(fewEndsPerCall)
+		}
 		n.workerClient = worker.NewClient(n.worker, seed*100+70+uint64(i))
 		s.nodes = append(s.nodes, n)
 		s.startNode(n)
--- a/shard/report.go
+++ b/shard/report.go
@@ -29,7 +29,7 @@
 		sc.handleStartOutcome(w, o, now)
 	}
 	if m.Complete {
-		sc.reconcileListing(w, m.Running, now)
+		sc.reconcileListing(w, now)
 	}
 	sc.checkTails(w, now)
 }
@@ -42,6 +42,10 @@
 		sc.adoptRun(w, row, now)
 		return
 	}
+	if r.stopping && r.token != w.token {
+		// The stop may not have reached the worker in the earlier session.
+		sc.pendingStops[r] = true
+	}
 	sc.confirmRun(r, now)
 	if row.Percent != r.percent {
 		r.percent, r.idle = row.Percent, 0
@@ -167,22 +171,11 @@
 	unknownRunBackoff = time.Second
 )
 
-// reconcileListing compares the known runs of a worker with a complete listing.
-// A run ordered in an earlier session that is not listed does not exist and
-// cannot start any more, since the worker rejects orders with an older fencing
-// token.
-func (sc *Scheduler) reconcileListing(w *worker, rows []spar.Running, now time.Time) {
-	listed := map[spar.TaskRef]int64{}
-	for _, r := range rows {
-		listed[r.Task] = max(listed[r.Task], r.Run)
-	}
+// reconcileListing removes the runs of earlier sessions that the worker has listed
+// neither as running nor as ended in this one. They do not exist and cannot start
+// any more, since the worker rejects orders with an older fencing token.
+func (sc *Scheduler) reconcileListing(w *worker, now time.Time) {
 	for r := range w.runs {
-		if listed[r.task.ref()] == r.number {
-			if r.stopping {
-				sc.pendingStops[r] = true
-			}
-			continue
-		}
 		if r.token == w.token {
 			continue
 		}
--- a/shard/takeover_test.go
+++ b/shard/takeover_test.go
@@ -103,6 +103,34 @@
 			h.Fatalf("run %d is ordered, want 2", o.Run)
 		}
 	}},
+	{"a run that the worker does not list is undecided until the lists are complete", func(h *harness) {
+		h.connect("n1")
+		a := h.submitAndStart("j1", "checks", shortStep(1))
+		h.token++
+		h.tokens["n1"] = h.token
+		h.scheduler.Connect("n1", info(spar.Life{ID: "i-n1", Born: 1}), h.token, nil, h.now)
+		h.report("n1", &link.AgentMessage{Heartbeat: 1})
+		h.connect("n2")
+		h.expectStarts(h.runCycle(), 0)
+		m := ended(900, a, spar.EndDone)
+		m.Complete = true
+		h.report("n1", m)
+		h.expectStarts(h.runCycle(), 0)
+		h.expectState("j1", shard.Completed)
+	}},
+	{"a stop is ordered again with the first list of the next session", func(h *harness) {
+		h.connect("n1")
+		a := h.submitAndStart("j1", "checks", shortStep(1))
+		h.scheduler.Cancel("j1", h.now)
+		h.runCycle()
+		h.token++
+		h.tokens["n1"] = h.token
+		h.scheduler.Connect("n1", info(spar.Life{ID: "i-n1", Born: 1}), h.token, nil, h.now)
+		h.report("n1", &link.AgentMessage{Heartbeat: 1, Running: []spar.Running{{Task: a.Task, Run: a.Run}}})
+		if s := stops(h.runCycle()); len(s) != 1 || s[0].Run != a.Run {
+			h.Fatalf("stops %+v, want that of run %d", s, a.Run)
+		}
+	}},
 	{"a message of an earlier session is ignored", func(h *harness) {
 		h.connect("n1")
 		a := h.submitAndStart("j1", "checks", shortStep(1))
--- a/stand/worker/worker.go
+++ b/stand/worker/worker.go
@@ -13,6 +13,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// EndsPerCall is the number of ends that a hold call lists, unless SetEndsPerCall
+// changes it.
+const EndsPerCall = 500
+
 // MaxLease is the longest lease that a worker grants; longer ones are cut.
 const MaxLease = 6 * time.Second
 
@@ -66,9 +70,10 @@
 	runs       map[spar.TaskRef]*run
 	// refusedUpTo is the highest run number of a task that must not start any more.
 	refusedUpTo map[spar.TaskRef]int64
-	// ended are the ends not yet acknowledged.
-	ended   []spar.Ended
-	endedAt map[int64]time.Time
+	// ended are the ends not yet acknowledged, of which a hold call lists endsPerCall.
+	ended       []spar.Ended
+	endsPerCall int
+	endedAt     map[int64]time.Time
 	// lapsedAt is when the lease was last seen to have ended.
 	lapsedAt time.Time
 	endCount int64
@@ -85,7 +90,7 @@
 
 // NewWorker returns a worker in its first life.
 func NewWorker(node string, size spar.Size, sizeOf func(spar.TaskRef) spar.Size, work Workload, c *InvariantChecker) *Worker {
-	w := &Worker{node: node, size: size, sizeOf: sizeOf, workload: work, checker: c}
+	w := &Worker{node: node, size: size, sizeOf: sizeOf, workload: work, checker: c, endsPerCall: EndsPerCall}
 	w.Restart(spar.Life{ID: "i-" + node, Born: time.Now().UnixMilli()})
 	return w
 }
@@ -121,6 +126,13 @@
 	w.unguarded = true
 }
 
+// SetEndsPerCall changes the number of ends that a hold call lists.
+func (w *Worker) SetEndsPerCall(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endsPerCall = n
+}
+
 // resizeGrace is how long after it has shrunk a worker may be given runs by its
 // former size: it covers two heartbeats, and the orders that are on their way.
 const resizeGrace = 1500 * time.Millisecond
@@ -343,7 +355,8 @@
 		}
 	}
 	w.ended = slices.DeleteFunc(w.ended, func(e spar.Ended) bool { return e.Number <= acked })
-	l := spar.RunLists{Clock: w.clockMs(), Born: w.life.Born, Ended: slices.Clone(w.ended)}
+	listed := min(len(w.ended), w.endsPerCall)
+	l := spar.RunLists{Clock: w.clockMs(), Born: w.life.Born, Ended: slices.Clone(w.ended[:listed]), MoreEnds: listed < len(w.ended)}
 	for t, r := range w.runs {
 		l.Running = append(l.Running, spar.Running{Task: t, Run: r.number, Percent: 50})
 	}
--- a/worker.go
+++ b/worker.go
@@ -82,4 +82,7 @@
 	Born    int64
 	Running []Running
 	Ended   []Ended
+	// MoreEnds reports that the worker may have ended runs that Ended lacks. It
+	// lists them after those in Ended have been acknowledged.
+	MoreEnds bool
 }
