Track, platform: a page of a topic is not the topic

The same cause as of the ends beyond a page, found by reading: a follower counted its topic as read up to now after each page, so an owner with more than one page to read (1 MB) could plan, and answer that a job does not exist, without having read a cancel or a submission.

--- a/store.go
+++ b/store.go
@@ -42,6 +42,8 @@
 	Records []Record
 	// Next is the offset to continue reading from.
 	Next int64
+	// More reports that the topic had records from Next on when it was read.
+	More bool
 }
 
 // Producer identifies the writer of an append. It makes appends idempotent and
--- a/track/follower.go
+++ b/track/follower.go
@@ -55,10 +55,12 @@
 		next := int64(-1)
 		for ctx.Err() == nil {
 			sent := time.Now()
-			n, err := f.read(ctx, next)
+			b, err := f.read(ctx, next)
 			if err == nil {
-				next = n
-				f.freshNS.Store(int64(sent.Sub(startTime)))
+				next = b.Next
+				if !b.More {
+					f.freshNS.Store(int64(sent.Sub(startTime)))
+				}
 				continue
 			}
 			if errors.Is(err, spar.ErrGone) {
@@ -75,23 +77,21 @@
 	return done
 }
 
-func (f *Follower) read(ctx context.Context, next int64) (int64, error) {
+// read reads the records from next on, or the newest of each key if next is
+// negative, and passes them on.
+func (f *Follower) read(ctx context.Context, next int64) (spar.Batch, error) {
 	if next < 0 {
 		b, err := f.Store.Newest(ctx, f.Topic)
-		if err != nil {
-			return 0, err
+		if err == nil {
+			f.OnSnapshot(b.Records)
 		}
-		f.OnSnapshot(b.Records)
-		return b.Next, nil
+		return b, err
 	}
 	b, err := f.Store.Follow(ctx, f.Topic, next, f.Wait)
-	if err != nil {
-		return 0, err
-	}
-	if len(b.Records) > 0 {
+	if err == nil && len(b.Records) > 0 {
 		f.OnRecords(b.Records)
 	}
-	return b.Next, nil
+	return b, err
 }
 
 // Pause waits for d or until the context ends.
