Shard: the progress of a large job is stored in parts

Cause: the progress of a job was one record, about 50 bytes a task with a run. With some 5,200 runs at once it exceeds recordBytes. The store refused the append for good, and the owner repeated it for ever, with the changes of all jobs behind it; so did each next owner. Evidence: the store's refusal of one record of the progress topic, again and again, and 'store call failed; retrying' of the owner without an end. The whole record was also written again for each change of one task.

Change: once the progress of a job exceeds 32 KiB its record holds the state alone, and its tasks are stored in parts of 32; only changed parts are written, and a part that is still too large is written in pieces. The crashes of a job's tasks are split alike. A commit is appended in as many appends as its size needs: parts, then states, then drops, so that an owner that ends in between leaves records which the next one joins to a whole (tests cut the commits at random records). Claims are bounded to 1,000 a commit, so that a large job does not hold up others. An append whose content the store refuses is halved until the refused record is found: its job fails with the reason, the others go on. Appends below 4 KiB are repeated as before, since a store that refuses those is at fault itself. Failures of standing tasks, which have no limit, are no longer kept. The room of a worker is a running sum, as one job can have thousands of runs on it.

The limits come from the platform by -set in the deploy file, a new flag that replaces one setting of the file.

Rolling upgrade: this build reads the records of earlier ones. An earlier build reads jobs that are stored as a whole; of a job in parts it knows the state alone and starts its tasks again. Such jobs have some 500 tasks or more.

--- a/common/main.go
+++ b/common/main.go
@@ -34,6 +34,12 @@
 	flags := flag.NewFlagSet(p.Name, flag.ContinueOnError)
 	flags.SetOutput(errs)
 	settings := flags.String("settings", "", "JSON `file` with settings; what it leaves out keeps its default")
+	var overrides []conf.Override
+	flags.Func("set", "`PATH=VALUE` replaces one setting of the file, such as log_level=debug; may be repeated, an empty VALUE replaces nothing", func(v string) error {
+		o, err := conf.ParseOverride(v)
+		overrides = append(overrides, o)
+		return err
+	})
 	printDefaults := flags.Bool("print-default-config", false, "print the default settings and end")
 	schema := flags.Bool("print-schema", false, "print the JSON schema of the settings and end")
 	flags.Usage = func() {
@@ -57,7 +63,7 @@
 		out.Write(conf.Schema[S](p.Name + " settings"))
 		return ExitDone
 	}
-	s, err := conf.Load(*settings, p.Defaults)
+	s, err := conf.Load(*settings, p.Defaults, overrides...)
 	if err == nil && p.Check != nil {
 		err = p.Check(s)
 	}
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -55,14 +55,21 @@
 	return out, nil
 }
 
-// Load reads and decodes a file. It returns the defaults for an empty path.
-func Load[T any](path string, defaults T) (T, error) {
-	if path == "" {
-		return defaults, nil
+// Load reads and decodes a file, of which overrides replace single settings. It returns
+// the defaults for an empty path and no overrides.
+func Load[T any](path string, defaults T, overrides ...Override) (T, error) {
+	data := []byte("{}")
+	if path != "" {
+		var err error
+		if data, err = os.ReadFile(path); err != nil {
+			return defaults, errors.Mark(err, ErrInvalid)
+		}
 	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return defaults, errors.Mark(err, ErrInvalid)
+	if len(overrides) > 0 {
+		var err error
+		if data, err = apply(data, overrides); err != nil {
+			return defaults, errors.Wrapf(errors.Mark(err, ErrInvalid), "%s", path)
+		}
 	}
 	out, err := Decode(data, defaults)
 	return out, errors.Wrapf(err, "%s", path)
--- a/entry/batch/settings.go
+++ b/entry/batch/settings.go
@@ -54,5 +54,8 @@
 	if s.Owner.LeaseMS > s.Owner.MaxLeaseMS {
 		return errors.Mark(errors.Newf("owner.lease_ms: %d is more than owner.max_lease_ms, which is %d", s.Owner.LeaseMS, s.Owner.MaxLeaseMS), conf.ErrInvalid)
 	}
+	if s.Owner.CallBytes < s.Owner.RecordBytes {
+		return errors.Mark(errors.Newf("owner.call_bytes: %d is less than owner.record_bytes, which is %d", s.Owner.CallBytes, s.Owner.RecordBytes), conf.ErrInvalid)
+	}
 	return nil
 }
--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -85,15 +85,21 @@
 }
 
 // storeCommit stores a commit and drops the submissions of the jobs that it
-// forgets. It reports whether the commit is stored.
+// forgets. It reports whether the commit is stored; a job whose progress the store
+// refuses has failed then.
 func (t *term) storeCommit(ctx context.Context, c *shard.Commit) bool {
 	if len(c.Records) > 0 {
-		t.appendSeq++
 		begun := time.Now()
-		if !t.appendFenced(ctx, stateTopic, t.appendSeq, c.Records) {
+		refused, err := t.appendProgress(ctx, c.Records)
+		if err != nil {
 			return false
 		}
 		t.Timer("append").Record(time.Since(begun))
+		if len(refused) > 0 {
+			t.stateMu.Lock()
+			t.scheduler.RejectRecords(c, refused, time.Now())
+			t.stateMu.Unlock()
+		}
 	}
 	if len(c.DroppedJobs) > 0 {
 		t.dropSubmissions(ctx, c.DroppedJobs)
--- a/entry/owner/settings.go
+++ b/entry/owner/settings.go
@@ -1,6 +1,9 @@
 package owner
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings of the election and of the owner.
 type Settings struct {
@@ -22,6 +25,10 @@
 	// GraceMS is how long an owner that cannot renew its term still grants
 	// leases after the term has expired.
 	GraceMS int64 `json:"grace_ms" jsonschema:"minimum=0,maximum=60000,description=time for which an owner that cannot renew its term still grants leases in ms"`
+	// RecordBytes is the largest record that the store accepts, and CallBytes the
+	// largest append.
+	RecordBytes int `json:"record_bytes" jsonschema:"minimum=4096,maximum=16777216,description=largest record that the store accepts in bytes"`
+	CallBytes   int `json:"call_bytes" jsonschema:"minimum=4096,maximum=67108864,description=largest append that the store accepts in bytes"`
 	// KeepMS is how long an ended job can still be queried.
 	KeepMS int64 `json:"keep_ms" jsonschema:"minimum=1000,maximum=86400000,description=time for which an ended job stays readable in ms"`
 }
@@ -29,12 +36,31 @@
 // DefaultSettings returns settings for a store that answers within a few
 // milliseconds.
 func DefaultSettings() Settings {
-	return Settings{Partitions: 1, TTLMS: 1000, JoinMS: 250, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, KeepMS: 150_000}
+	return Settings{Partitions: 1, TTLMS: 1000, JoinMS: 250, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepMS: 150_000}
 }
 
 // ownerPartition is the partition whose holder is the owner.
 func (s Settings) ownerPartition() int { return max(s.Partitions, 1) - 1 }
 
+const (
+	// recordOverhead is what a record takes beside its value: its key, which the
+	// store limits to 255 bytes, and the lengths of both.
+	recordOverhead = 260
+	// maxAppendBytes bounds one append, so that a large commit does not hold up the
+	// others of its topic for long.
+	maxAppendBytes = 512 << 10
+)
+
+// valueBytes is the largest value of a record.
+func (s Settings) valueBytes() int {
+	return cmp.Or(s.RecordBytes, DefaultSettings().RecordBytes) - recordOverhead
+}
+
+// appendBytes is the largest append of several records.
+func (s Settings) appendBytes() int {
+	return min(cmp.Or(s.CallBytes, DefaultSettings().CallBytes), maxAppendBytes)
+}
+
 func (s Settings) ttl() time.Duration {
 	return time.Duration(max(s.TTLMS, s.LeastTTLMS)) * time.Millisecond
 }
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -11,7 +11,6 @@
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/shard"
 	"github.com/berylspar/spar/track"
-	"github.com/cockroachdb/errors"
 )
 
 // Prefixes of the keys of the jobs topic. A cancel has a key of its own, so that
@@ -60,7 +59,8 @@
 
 	scheduler *shard.Scheduler
 	// stateMu guards scheduler, sessions and sessionCount.
-	stateMu      sync.Mutex
+	stateMu sync.Mutex
+	// appendSeq is the sequence number of the last append to the progress topic.
 	appendSeq    int64
 	sessions     map[string]*session
 	sessionCount int64
@@ -68,7 +68,7 @@
 
 func newTerm(c *Candidate, epoch int64, until time.Duration) *term {
 	t := &term{Candidate: c, epoch: epoch, wake: make(chan struct{}, 1), ended: make(chan struct{}), sessions: map[string]*session{}}
-	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep()}, t.logEvent)
+	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep(), RecordBytes: c.settings.valueBytes()}, t.logEvent)
 	t.jobs = &track.Follower{
 		Store: c.store, Topic: JobsTopic, Wait: jobsReadWait, OnSnapshot: t.applyJobRecords, OnRecords: t.applyJobRecords,
 		OnError: func(err error) { t.Warn("could not read the jobs topic", "err", err) },
@@ -145,7 +145,7 @@
 		topic string
 		batch *spar.Batch
 	}{{JobsTopic, &jobs}, {stateTopic, &state}} {
-		err := t.retryStoreCall(ctx, func() (err error) {
+		err := t.retryStoreCall(ctx, 0, func() (err error) {
 			*r.batch, err = t.store.Newest(ctx, r.topic)
 			return err
 		})
@@ -158,10 +158,8 @@
 	t.stateMu.Lock()
 	t.applyConfig()
 	t.applySubmissions(jobs.Records, now)
-	for _, r := range state.Records {
-		if err := t.scheduler.Restore(r.Key, r.Value, now, now.Add(t.settings.maxEarlierLease())); err != nil {
-			t.Warn("could not restore stored progress", "err", err)
-		}
+	for _, err := range t.scheduler.Restore(state.Records, now, now.Add(t.settings.maxEarlierLease())) {
+		t.Warn("could not restore stored progress", "err", err)
 	}
 	t.applyCancels(jobs.Records, now)
 	t.stateMu.Unlock()
@@ -176,42 +174,6 @@
 	return true
 }
 
-// retryStoreCall repeats a store call until it succeeds, it is fenced or out of
-// sequence, or the context ends.
-func (t *term) retryStoreCall(ctx context.Context, call func() error) error {
-	pause := retryPause
-	for tries := 1; ; tries++ {
-		err := call()
-		if err == nil || errors.Is(err, spar.ErrFenced) || errors.Is(err, spar.ErrSequence) {
-			if tries > 1 {
-				t.Info("store call answered", "epoch", t.epoch, "tries", tries, "err", err)
-			}
-			return err
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		t.Counter("store_repeats").Inc(1)
-		if tries == 1 {
-			t.Warn("store call failed; retrying", "epoch", t.epoch, "err", err)
-		}
-		track.Pause(ctx, pause)
-		pause = min(2*pause, maxRetryPause)
-	}
-}
-
-// appendFenced appends to a topic with the term's epoch and repeats that until it
-// is answered. It reports whether the records are stored; if not, the term has
-// failed.
-func (t *term) appendFenced(ctx context.Context, topic string, seq int64, records []spar.Record) bool {
-	p := &spar.Producer{Name: producerName, Epoch: t.epoch, Seq: seq}
-	err := t.retryStoreCall(ctx, func() error { return t.write(ctx, topic, p, records) })
-	if err != nil {
-		t.fail(err)
-	}
-	return err == nil
-}
-
 // applyJobRecords applies records of the jobs topic to the shard.
 func (t *term) applyJobRecords(records []spar.Record) {
 	now := time.Now()
--- a/errors.go
+++ b/errors.go
@@ -15,6 +15,9 @@
 var (
 	// ErrRefused means that the call had no effect.
 	ErrRefused = errors.New("refused, nothing was done")
+	// ErrInvalid means that the other side rejects the call for its content, so that
+	// repeating it has no effect either. It comes together with ErrRefused.
+	ErrInvalid = errors.New("content refused")
 	// ErrNotSent means that no connection could be made. It comes together with
 	// ErrRefused.
 	ErrNotSent = errors.New("not sent")
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -22,7 +25,8 @@
 // Commit holds changes that must be stored, and the effects that may be
 // released after that.
 type Commit struct {
-	// Records are written to the progress topic.
+	// Records are written to the progress topic in this order. An owner that ends
+	// after some of them leaves records that the next one can restore.
 	Records     []spar.Record
 	jobStates   map[*job]State
 	claimedRuns []*run
@@ -39,19 +43,15 @@
 // PrepareCommit collects and clears the changes since the last commit.
 func (sc *Scheduler) PrepareCommit() *Commit {
 	out := &Commit{jobStates: map[*job]State{}, claimedRuns: sc.claimedRuns, acks: sc.pendingAcks, DroppedJobs: sc.droppedJobs}
+	var heads, drops []spar.Record
 	for j := range sc.changedJobs {
-		out.Records = append(out.Records, spar.Record{Key: j.ID, Value: j.encode()})
-		if r, ok := j.crashRecord(); ok {
-			out.Records = append(out.Records, r)
-		}
+		r := j.takeChanges(sc.limits.recordBytes(), sc.now)
+		out.Records, heads, drops = append(out.Records, r.parts...), append(heads, r.head...), append(drops, r.drops...)
 		out.jobStates[j] = j.state
-		j.storedAt, j.unstoredCheckpoints = sc.now, false
-	}
-	for _, id := range sc.droppedJobs {
-		out.Records = append(out.Records, spar.Record{Key: id})
 	}
-	for _, id := range sc.droppedCrashes {
-		out.Records = append(out.Records, spar.Record{Key: crashPrefix + id})
+	out.Records = slices.Concat(out.Records, heads, drops)
+	for _, key := range slices.Concat(sc.droppedKeys, sc.droppedJobs) {
+		out.Records = append(out.Records, spar.Record{Key: key})
 	}
 	if sc.interference.PairCount() > 0 && sc.now.Sub(sc.modelCheckedAt) >= modelStoreInterval {
 		if v := sc.interference.Encode(); !bytes.Equal(v, sc.storedModel) {
@@ -61,10 +61,41 @@
 		sc.modelCheckedAt = sc.now
 	}
 	sc.changedJobs, sc.claimedRuns, sc.pendingAcks = map[*job]bool{}, nil, map[*worker]int64{}
-	sc.droppedJobs, sc.droppedCrashes = nil, nil
+	sc.droppedJobs, sc.droppedKeys = nil, nil
 	return out
 }
 
+// RejectRecords ends the jobs of records that the store refuses for their content, so
+// that the others go on. It is called before FinishCommit. The acknowledgements of the
+// commit wait for the next one, which stores that the jobs have failed.
+func (sc *Scheduler) RejectRecords(c *Commit, refused []spar.Record, now time.Time) {
+	for _, r := range refused {
+		sc.onEvent(Event{Name: "record refused", Task: r.Key, Reason: fmt.Sprintf("%d bytes", len(r.Value))})
+		j := sc.jobs[jobOfKey(r.Key)]
+		if j == nil || j.hasEnded() {
+			continue
+		}
+		j.failure = fmt.Sprintf("progress record %s of %d bytes is refused by the store", r.Key, len(r.Value))
+		sc.endJob(j, Failed, now)
+	}
+	for w, n := range c.acks {
+		sc.pendingAcks[w] = max(sc.pendingAcks[w], n)
+	}
+	c.acks = nil
+}
+
+// jobOfKey returns the ID of the job whose progress is stored under a key, or "".
+func jobOfKey(key string) string {
+	if rest, ok := strings.CutPrefix(key, partPrefix); ok {
+		id, _, _ := strings.Cut(rest, "/")
+		return id
+	}
+	if strings.HasPrefix(key, "#") {
+		return ""
+	}
+	return key
+}
+
 // orderClaims returns the start orders of claimed runs that may be given. Their
 // workers must still have room for all runs that are assigned to them; a gang is
 // started as a whole or not at all. The other claims are removed, since no worker
@@ -86,7 +117,7 @@
 	for i := len(valid) - 1; i >= 0; i-- {
 		r := valid[i]
 		s := r.task.step
-		if s.Gang && lacking[s] || !r.worker.room().Fits(r.worker.info.Size) {
+		if s.Gang && lacking[s] || !r.worker.room.Fits(r.worker.info.Size) {
 			sc.onEvent(Event{Name: "claim dropped", Task: r.task.ref().String(), Run: r.number, Node: r.worker.node, Reason: "worker is smaller now"})
 			lacking[s] = true
 			sc.removeRun(r)
@@ -134,7 +165,7 @@
 		r.ordered = true
 		messageFor(out, w).Starts = append(messageFor(out, w).Starts, spar.StartOrder{
 			Task: t.ref(), Run: r.number, Spec: t.step.job.Spec, Checkpoint: t.checkpoint,
-			Ticket: t.step.advice.permits[w.info.Life.ID].ticket, Room: w.room(),
+			Ticket: t.step.advice.permits[w.info.Life.ID].ticket, Room: w.room,
 		})
 	}
 	return out
--- a/shard/crash.go
+++ b/shard/crash.go
@@ -9,13 +9,19 @@
 )
 
 // history returns the crash history that counts for a task.
-func (t *task) history() *crashHistory {
+func (t *task) history() *crashHistory { return &t.historyTask().crashHistory }
+
+// historyTask returns the task that keeps the crash history of a task.
+func (t *task) historyTask() *task {
 	if t.step.Gang {
-		return &t.step.tasks[0].crashHistory
+		return t.step.tasks[0]
 	}
-	return &t.crashHistory
+	return t
 }
 
+// markHistoryChanged has the next commit store the crash history of a task.
+func (sc *Scheduler) markHistoryChanged(t *task) { sc.markTaskChanged(t.historyTask()) }
+
 // RecordLifeEnds processes the unannounced ends of a worker's lives that its agent
 // reports when it connects. The tasks lost in a crash are suspected of it, and a job
 // with a task that has crashed several workers is given up. An end that may not be a
@@ -44,7 +50,7 @@
 		}
 		for _, lost := range e.Runs {
 			if t := sc.countableTask(lost); t != nil {
-				sc.markChanged(t.step.job)
+				sc.markHistoryChanged(t)
 				t.history().add(crash{run: lost.Run, node: node, age: lost.Age, silent: true})
 				sc.judge(t, lost.Run, node, now)
 			}
@@ -83,7 +89,7 @@
 			continue
 		}
 		h := t.history()
-		sc.markChanged(t.step.job)
+		sc.markHistoryChanged(t)
 		if (repeated || h.isSuspect() && lost.Age <= startingAge) && !causes[h] {
 			// Another task is known to be the cause, or the trial of this one was
 			// over when another one crashed the worker.
@@ -178,7 +184,7 @@
 		}
 		sc.onEvent(Event{Name: "task cleared", Task: t.ref().String(), Run: r.number, Node: r.worker.node, Reason: h.String()})
 		h.clear(r.number)
-		sc.markChanged(t.step.job)
+		sc.markHistoryChanged(t)
 	}
 	if len(h.crashes) == 0 {
 		delete(sc.suspects, t)
--- a/shard/crash_record.go
+++ b/shard/crash_record.go
@@ -1,12 +1,12 @@
 package shard
 
 import (
+	"strings"
 	"time"
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/codec"
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // crashPrefix begins the keys of the records with the crashes of a job's tasks. They
@@ -36,32 +36,33 @@
 	Silent bool          `msgpack:"s,omitempty"`
 }
 
-// crashRecord returns the record of a job's crashes, with an empty value if there
-// are none any more. It returns false if nothing has to be written.
+// crashRecord returns the record of a job's failure and of the crashes of all its
+// tasks, with an empty value if there are none any more. It returns false if nothing
+// has to be written.
 func (j *job) crashRecord() (spar.Record, bool) {
-	out := spar.Record{Key: crashPrefix + j.ID}
-	c := crashRecord{Failure: j.failure}
+	var tasks []*task
 	if !j.hasEnded() {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				for _, t := range s.tasks {
-					c.addTask(t)
-				}
+				tasks = append(tasks, s.tasks...)
 			}
 		}
 	}
-	if c.Failure == "" && len(c.Tasks) == 0 {
-		wasStored := j.crashesStored
-		j.crashesStored = false
-		return out, wasStored
+	value := encodeCrashes(j.failure, tasks)
+	return spar.Record{Key: crashPrefix + j.ID, Value: value}, len(value) > 0 || j.crashesStored
+}
+
+// encodeCrashes returns the stored form of a job's failure and of the crashes of
+// tasks, or nil if there are none.
+func encodeCrashes(failure string, tasks []*task) []byte {
+	c := crashRecord{Failure: failure}
+	for _, t := range tasks {
+		c.addTask(t)
 	}
-	value, err := msgpack.Marshal(&c)
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode crashes of job %s", j.ID))
+	if c.Failure == "" && len(c.Tasks) == 0 {
+		return nil
 	}
-	j.crashesStored = true
-	out.Value = value
-	return out, true
+	return marshal(&c)
 }
 
 func (c *crashRecord) addTask(t *task) {
@@ -75,30 +76,60 @@
 	c.Tasks = append(c.Tasks, tc)
 }
 
-// restoreCrashes loads the record of the crashes of a job's tasks. The record of a
-// job that is gone is dropped: an owner of a build without such records has left it.
-func (sc *Scheduler) restoreCrashes(id string, value []byte) error {
+// restoreCrashes loads the crashes of the tasks of a job, or of a part of them. The
+// record of a job that is gone is dropped: an owner of a build without such records
+// has left it.
+func (sc *Scheduler) restoreCrashes(rest string, value []byte) error {
+	id, part, whole := rest, 0, !strings.Contains(rest, "/")
+	if !whole {
+		var err error
+		if id, part, _, err = parsePart(rest); err != nil {
+			return err
+		}
+	}
 	j := sc.jobs[id]
-	if j == nil {
-		sc.droppedCrashes = append(sc.droppedCrashes, id)
+	if j == nil || !whole && j.hasEnded() {
+		sc.droppedKeys = append(sc.droppedKeys, crashPrefix+rest)
 		return nil
 	}
+	if whole {
+		j.crashesStored = true
+	} else {
+		j.inParts, j.crashParts[part] = true, true
+	}
 	c, err := codec.Decode[crashRecord](value)
 	if err != nil {
-		return errors.Wrapf(err, "decode crashes of job %s", id)
+		return err
+	}
+	if whole {
+		j.failure = c.Failure
 	}
-	j.failure, j.crashesStored = c.Failure, true
 	for _, tc := range c.Tasks {
-		j.ensureOccurrence(tc.Task.Occur)
+		if err := j.ensureOccurrence(tc.Task.Occur); err != nil {
+			return err
+		}
 		t := j.findTask(tc.Task)
 		if t == nil {
-			return errors.Newf("restore crashes of job %s: the job has no task %s", id, tc.Task)
+			return errors.Newf("the job has no task %s", tc.Task)
 		}
-		t.clearedRun, t.dismissed = tc.Cleared, tc.Dismissed
-		for _, o := range tc.Crashes {
+		sc.restoreHistory(t, tc)
+	}
+	return nil
+}
+
+// restoreHistory adds stored crashes to a task. They may be in two records: an owner
+// may have ended between the appends of a commit.
+func (sc *Scheduler) restoreHistory(t *task, tc taskCrashes) {
+	t.clear(tc.Cleared)
+	for _, d := range tc.Dismissed {
+		t.dismiss(d)
+	}
+	for _, o := range tc.Crashes {
+		if !t.isSettled(o.Run) {
 			t.crashes = append(t.crashes, crash{run: o.Run, node: o.Node, age: o.Age, alone: o.Alone, silent: o.Silent})
-			sc.suspects[t] = true
 		}
 	}
-	return nil
+	if len(t.crashes) > 0 {
+		sc.suspects[t] = true
+	}
 }
--- a/shard/harness_test.go
+++ b/shard/harness_test.go
@@ -96,8 +96,17 @@
 	return out
 }
 
-func (h *harness) store(c *shard.Commit) {
-	for _, r := range c.Records {
+// recordBytes is the largest value of a record that the harness stores.
+const recordBytes = 255 << 10
+
+func (h *harness) store(c *shard.Commit) { h.storeRecords(c.Records) }
+
+func (h *harness) storeRecords(records []spar.Record) {
+	h.Helper()
+	for _, r := range records {
+		if len(r.Value) > recordBytes {
+			h.Fatalf("record %q has a value of %d bytes, at most %d", r.Key, len(r.Value), recordBytes)
+		}
 		if len(r.Value) == 0 {
 			delete(h.state, r.Key)
 			continue
@@ -120,13 +129,20 @@
 		}
 		h.scheduler.Submit(j, h.now)
 	}
-	for id, v := range h.state {
-		if err := h.scheduler.Restore(id, v, h.now, h.now.Add(wait)); err != nil {
-			h.Fatal(err)
-		}
+	if errs := h.scheduler.Restore(h.stateRecords(), h.now, h.now.Add(wait)); len(errs) > 0 {
+		h.Fatal(errs)
 	}
 }
 
+// stateRecords returns the stored records in no particular order.
+func (h *harness) stateRecords() []spar.Record {
+	var out []spar.Record
+	for k, v := range h.state {
+		out = append(out, spar.Record{Key: k, Value: v})
+	}
+	return out
+}
+
 func starts(m map[string]*link.OwnerMessage) (out []spar.StartOrder) {
 	for _, d := range m {
 		out = append(out, d.Starts...)
--- a/shard/job.go
+++ b/shard/job.go
@@ -26,7 +26,8 @@
 	// reportedState is the state that callers see: the last stored one, or
 	// Cancelled from the time when the cancel is read.
 	reportedState State
-	occurrences   []*occurrence
+	// occurrences holds the occurrences that were due, by number.
+	occurrences []*occurrence
 	// started reports whether any task of the job has started.
 	started bool
 	// failure says why the job has failed. crashesStored reports whether a record
@@ -37,10 +38,7 @@
 	endedAt time.Time
 	// firstSeen is when this owner first saw the job.
 	firstSeen time.Time
-	// storedAt is when a commit last contained the job's progress, and
-	// unstoredCheckpoints reports whether checkpoints changed since then.
-	storedAt            time.Time
-	unstoredCheckpoints bool
+	storage
 }
 
 // occurrence is one execution of a job's steps. A job that runs once has one, a
@@ -120,7 +118,9 @@
 }
 
 func newJob(j spar.Job, now time.Time) *job {
-	return &job{Job: j, policy: j.Policy, state: Queued, reportedState: Queued, firstSeen: now}
+	out := &job{Job: j, policy: j.Policy, state: Queued, reportedState: Queued, firstSeen: now}
+	out.storage = newStorage(j.Steps)
+	return out
 }
 
 // addOccurrence adds an occurrence with all its tasks to a job.
@@ -140,16 +140,14 @@
 
 // findTask returns the named task, or nil if the job does not have it.
 func (j *job) findTask(ref spar.TaskRef) *task {
-	for _, o := range j.occurrences {
-		if o.number != ref.Occur {
-			continue
-		}
-		if ref.Step < 0 || ref.Step >= len(o.steps) || ref.Index < 0 || ref.Index >= len(o.steps[ref.Step].tasks) {
-			return nil
-		}
-		return o.steps[ref.Step].tasks[ref.Index]
+	if ref.Occur < 0 || ref.Occur >= len(j.occurrences) {
+		return nil
 	}
-	return nil
+	o := j.occurrences[ref.Occur]
+	if ref.Step < 0 || ref.Step >= len(o.steps) || ref.Index < 0 || ref.Index >= len(o.steps[ref.Step].tasks) {
+		return nil
+	}
+	return o.steps[ref.Step].tasks[ref.Index]
 }
 
 // hasEnded reports whether the job is in a final state.
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -108,6 +108,10 @@
 	return 0
 }
 
+// maxClaimsPerCommit is the number of claims from which Plan places no further step or
+// task until they are stored, so that the claims of a large job do not delay others.
+const maxClaimsPerCommit = 1000
+
 // placeStep places the waiting tasks of a step until one finds no worker; the
 // remaining tasks have the same requirements and are not tried. It reports
 // whether all waiting tasks were placed.
@@ -126,6 +130,9 @@
 		if !t.isWaiting(now) || t.isSuspect() {
 			continue
 		}
+		if len(sc.claimedRuns) >= maxClaimsPerCommit {
+			return false
+		}
 		p, ok := sc.bestPlacement(t, pool, now)
 		if !ok {
 			return false
@@ -145,6 +152,9 @@
 		}
 		lastRun = max(lastRun, t.lastRun)
 	}
+	if len(sc.claimedRuns) >= maxClaimsPerCommit {
+		return false
+	}
 	checkpoint := s.tasks[0].checkpoint
 	var claimed []placement
 	for _, t := range s.tasks {
@@ -169,10 +179,10 @@
 	r := &run{task: t, worker: p.worker, number: number, token: p.token, pace: p.pace, started: now}
 	t.lastRun = number
 	t.runs = append(t.runs, r)
-	p.runs[r] = true
+	p.addRun(r)
 	p.allocate(sc, t.step)
 	sc.claimedRuns = append(sc.claimedRuns, r)
-	sc.markChanged(t.step.job)
+	sc.markTaskChanged(t)
 	sc.onEvent(Event{Name: "run claimed", Task: t.ref().String(), Run: number, Node: p.node, Reason: t.step.Image})
 }
 
--- a/shard/poison_test.go
+++ b/shard/poison_test.go
@@ -62,9 +62,7 @@
 				h.scheduler.Submit(j, h.now)
 			}
 		}
-		for id, v := range h.state {
-			_ = h.scheduler.Restore(id, v, h.now, h.now.Add(time.Second)) // the owner logs the error and goes on
-		}
+		h.scheduler.Restore(h.stateRecords(), h.now, h.now.Add(time.Second)) // the owner logs the errors and goes on
 		h.runCycle()
 		hello, err := msgpack.Marshal(&link.AgentMessage{Complete: true, Running: []spar.Running{{Task: o.Task, Run: o.Run, Percent: 7}}, Ended: []spar.Ended{{Number: 1, Task: o.Task, Run: o.Run, Ending: spar.EndFailed}}, LifeEnds: []link.LifeEnd{h.ends["n1"]}})
 		if err != nil {
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -1,17 +1,7 @@
 package shard
 
-import (
-	"strings"
-	"time"
-
-	"github.com/berylspar/spar"
-	"github.com/berylspar/spar/codec"
-	"github.com/berylspar/spar/interf"
-	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
-)
-
-// progress is the stored form of a job's progress. It and the types below are
+// progress is the stored form of a job's state, and of the progress of its tasks if it
+// is stored as a whole. It and the types below are
 // encoded as arrays, whose fields must stay as they are: a record with more or fewer
 // cannot be read by another build.
 type progress struct {
@@ -48,122 +38,54 @@
 	Born     int64
 }
 
-// encode returns the stored form of a job's progress. Tasks of an ended job are
-// left out.
+// encode returns the stored form of a job's progress as a whole.
 func (j *job) encode() []byte {
 	p := progress{State: j.state, Begun: j.started}
 	for _, o := range j.occurrences {
 		op := occurProgress{Number: o.number}
-		if !j.hasEnded() {
-			op.Tasks = o.encode()
+		for _, s := range o.steps {
+			op.Tasks = appendTasks(op.Tasks, s.tasks, true)
 		}
 		p.Occurs = append(p.Occurs, op)
 	}
-	out, err := msgpack.Marshal(&p)
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode progress of job %s", j.ID))
-	}
-	return out
+	return marshal(&p)
 }
 
-func (o *occurrence) encode() []taskProgress {
-	var out []taskProgress
-	for _, s := range o.steps {
-		for _, t := range s.tasks {
-			if t.lastRun == 0 && !t.done {
-				continue
-			}
-			tp := taskProgress{Step: s.index, Index: t.index, Done: t.done, Last: t.lastRun, Failed: t.failedRuns}
-			if !t.done {
-				tp.Saved = t.checkpoint
-				for _, r := range t.runs {
-					tp.Runs = append(tp.Runs, runProgress{Number: r.number, Node: r.worker.node, Life: r.worker.info.Life.ID, Born: r.worker.info.Life.Born})
-				}
-			}
-			out = append(out, tp)
-		}
-	}
-	return out
-}
+// encodeHead returns the stored form of a job's state without its tasks.
+func (j *job) encodeHead() []byte { return marshal(&progress{State: j.state, Begun: j.started}) }
 
-// Restore loads a record of the progress topic. The runs that it names count as
-// present on their workers until the workers report, or until expires.
-func (sc *Scheduler) Restore(id string, value []byte, now, expires time.Time) error {
-	if id == modelKey {
-		m, err := interf.Decode(value)
-		if err == nil {
-			sc.interference, sc.storedModel = m, value
+// encodeTasks returns the stored form of tasks in the order of their occurrences.
+func encodeTasks(tasks []*task, checkpoints bool) []occurProgress {
+	var out []occurProgress
+	for len(tasks) > 0 {
+		o := tasks[0].step.occurrence
+		n := 1
+		for n < len(tasks) && tasks[n].step.occurrence == o {
+			n++
 		}
-		return err
-	}
-	if job, ok := strings.CutPrefix(id, crashPrefix); ok {
-		return sc.restoreCrashes(job, value)
-	}
-	j := sc.jobs[id]
-	if j == nil {
-		return errors.Newf("restore progress of job %s: the job is not among the submissions", id)
-	}
-	p, err := codec.Decode[progress](value)
-	if err != nil {
-		return errors.Wrapf(err, "decode progress of job %s", id)
-	}
-	j.state, j.reportedState, j.started = p.State, p.State, p.Begun
-	if j.hasEnded() {
-		j.endedAt = now
-		sc.retireJob(j)
-	}
-	for _, op := range p.Occurs {
-		o := j.ensureOccurrence(op.Number)
-		for _, tp := range op.Tasks {
-			t := j.findTask(spar.TaskRef{Job: id, Occur: o.number, Step: tp.Step, Index: tp.Index})
-			if t == nil {
-				return errors.Newf("restore progress of job %s: the job has no task %d.%d.%d", id, o.number, tp.Step, tp.Index)
-			}
-			sc.restoreTask(t, tp, expires)
+		if rows := appendTasks(nil, tasks[:n], checkpoints); len(rows) > 0 {
+			out = append(out, occurProgress{Number: o.number, Tasks: rows})
 		}
+		tasks = tasks[n:]
 	}
-	return nil
+	return out
 }
 
-// restoreTask loads the stored progress of a task and assigns its runs to their
-// workers.
-func (sc *Scheduler) restoreTask(t *task, p taskProgress, expires time.Time) {
-	t.lastRun, t.failedRuns, t.checkpoint = p.Last, p.Failed, p.Saved
-	if p.Done {
-		t.done = true
-		t.step.unfinished--
-		return
-	}
-	for _, rp := range p.Runs {
-		life := spar.Life{ID: rp.Life, Born: rp.Born}
-		w := sc.workers[rp.Node]
-		if w == nil {
-			w = &worker{node: rp.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, leasesExpire: expires}
-			sc.workers[rp.Node] = w
+func appendTasks(out []taskProgress, tasks []*task, checkpoints bool) []taskProgress {
+	for _, t := range tasks {
+		if t.lastRun == 0 && !t.done {
+			continue
 		}
-		if w.info.Life != life && w.info.Life.ID != life.ID {
-			if w.info.Life.Born > life.Born {
-				continue
+		tp := taskProgress{Step: t.step.index, Index: t.index, Done: t.done, Last: t.lastRun, Failed: t.failedRuns}
+		if !t.done {
+			if checkpoints {
+				tp.Saved = t.checkpoint
+			}
+			for _, r := range t.runs {
+				tp.Runs = append(tp.Runs, runProgress{Number: r.number, Node: r.worker.node, Life: r.worker.info.Life.ID, Born: r.worker.info.Life.Born})
 			}
-			// The node has a later life under another name, so the runs of the
-			// earlier one are over.
-			sc.endLife(w, "worker in a new life")
-			w = &worker{node: rp.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, leasesExpire: expires}
-			sc.workers[rp.Node] = w
-		}
-		w.info.Life.Born = max(w.info.Life.Born, life.Born)
-		r := &run{task: t, worker: w, number: rp.Number, ordered: true, pace: 100, started: expires}
-		t.runs = append(t.runs, r)
-		w.runs[r] = true
-	}
-}
-
-// ensureOccurrence returns an occurrence, added if it does not exist yet.
-func (j *job) ensureOccurrence(number int) *occurrence {
-	for _, o := range j.occurrences {
-		if o.number == number {
-			return o
 		}
+		out = append(out, tp)
 	}
-	return j.addOccurrence(number, j.First.Add(time.Duration(number)*j.Interval))
+	return out
 }
--- a/shard/report.go
+++ b/shard/report.go
@@ -53,18 +53,11 @@
 	r.measured = row.Measurement
 	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint = row.Checkpoint
-		r.task.step.job.unstoredCheckpoints = true
-	}
-	if j := r.task.step.job; j.unstoredCheckpoints && now.Sub(j.storedAt) >= checkpointStoreInterval {
-		sc.markChanged(j)
+		sc.markCheckpointChanged(r.task)
 	}
+	sc.storeDueCheckpoints(r.task.step.job, now)
 }
 
-// checkpointStoreInterval is the shortest time between two writes of a job's
-// progress that only bring new checkpoints. Without them, work done since the
-// last other change would be lost when workers and owner go down together.
-const checkpointStoreInterval = time.Second
-
 // adoptRun adds a reported run that is not among the known runs of the worker.
 // A run that had been removed as lost is kept if it is the latest of an
 // unfinished task that has no other run. Any other run is stopped.
@@ -84,8 +77,8 @@
 	r := &run{task: t, worker: w, number: row.Run, ordered: true, token: w.token, pace: 100, started: now}
 	keep := !j.hasEnded() && !t.done && len(t.runs) == 0 && row.Run == t.lastRun
 	t.runs = append(t.runs, r)
-	w.runs[r] = true
-	sc.markChanged(j)
+	w.addRun(r)
+	sc.markTaskChanged(t)
 	sc.confirmRun(r, now)
 	if !keep {
 		sc.stopRun(r)
@@ -182,6 +175,7 @@
 		sc.onEvent(Event{Name: "run not found", Task: r.task.ref().String(), Run: r.number, Node: w.node})
 		r.task.notBefore = now
 		r.task.history().dismiss(r.number)
+		sc.markHistoryChanged(r.task)
 		sc.removeRun(r)
 	}
 	w.listed = true
--- /dev/null
+++ b/shard/restore.go
@@ -0,0 +1,195 @@
+package shard
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/codec"
+	"github.com/berylspar/spar/interf"
+	"github.com/cockroachdb/errors"
+)
+
+// Restore loads the records of the progress topic. The runs that they name count as
+// present on their workers until the workers report, or until expires. A record that
+// cannot be loaded is left out; the errors name the records.
+func (sc *Scheduler) Restore(records []spar.Record, now, expires time.Time) []error {
+	var out []error
+	load := func(prefixed bool, restore func(spar.Record) error) {
+		for _, r := range records {
+			if strings.HasPrefix(r.Key, "#") != prefixed {
+				continue
+			}
+			if err := restore(r); err != nil {
+				out = append(out, errors.Wrapf(err, "restore record %q of %d bytes", r.Key, len(r.Value)))
+			}
+		}
+	}
+	// The parts of a job that has ended are not loaded.
+	load(false, func(r spar.Record) error { return sc.restoreJob(r.Key, r.Value, now, expires) })
+	load(true, func(r spar.Record) error { return sc.restoreOther(r, expires) })
+	sc.completeGangs(now)
+	return out
+}
+
+func (sc *Scheduler) restoreOther(r spar.Record, expires time.Time) error {
+	if r.Key == modelKey {
+		m, err := interf.Decode(r.Value)
+		if err == nil {
+			sc.interference, sc.storedModel = m, r.Value
+		}
+		return err
+	}
+	if rest, ok := strings.CutPrefix(r.Key, partPrefix); ok {
+		return sc.restorePart(rest, r.Value, expires)
+	}
+	if rest, ok := strings.CutPrefix(r.Key, crashPrefix); ok {
+		return sc.restoreCrashes(rest, r.Value)
+	}
+	return errors.New("unknown key")
+}
+
+// restoreJob loads the state of a job, and the progress of its tasks if it was stored
+// as a whole.
+func (sc *Scheduler) restoreJob(id string, value []byte, now, expires time.Time) error {
+	j := sc.jobs[id]
+	if j == nil {
+		return errors.New("the job is not among the submissions")
+	}
+	p, err := codec.Decode[progress](value)
+	if err != nil {
+		return err
+	}
+	j.state, j.reportedState, j.started = p.State, p.State, p.Begun
+	if j.hasEnded() {
+		j.endedAt = now
+		sc.retireJob(j)
+		return nil
+	}
+	j.wholeStored = slices.ContainsFunc(p.Occurs, func(o occurProgress) bool { return len(o.Tasks) > 0 })
+	return sc.restoreTasks(j, p.Occurs, expires)
+}
+
+// restorePart loads a part of a job's tasks. A part that is left from a job that has
+// ended or was dropped is dropped.
+func (sc *Scheduler) restorePart(rest string, value []byte, expires time.Time) error {
+	id, part, piece, err := parsePart(rest)
+	if err != nil {
+		return err
+	}
+	j := sc.jobs[id]
+	if j == nil || j.hasEnded() {
+		sc.droppedKeys = append(sc.droppedKeys, partPrefix+rest)
+		return nil
+	}
+	j.inParts = true
+	j.pieces[part] = max(j.pieces[part], piece+1)
+	rows, err := codec.Decode[[]occurProgress](value)
+	if err != nil {
+		return err
+	}
+	return sc.restoreTasks(j, rows, expires)
+}
+
+func (sc *Scheduler) restoreTasks(j *job, rows []occurProgress, expires time.Time) error {
+	for _, op := range rows {
+		if err := j.ensureOccurrence(op.Number); err != nil {
+			return err
+		}
+		for _, tp := range op.Tasks {
+			t := j.findTask(spar.TaskRef{Job: j.ID, Occur: op.Number, Step: tp.Step, Index: tp.Index})
+			if t == nil {
+				return errors.Newf("the job has no task %d.%d.%d", op.Number, tp.Step, tp.Index)
+			}
+			sc.restoreTask(t, tp, expires)
+		}
+	}
+	return nil
+}
+
+// restoreTask loads the stored progress of a task and assigns its runs to their
+// workers. The task may be in several records, of which only one is current: an owner
+// may have ended between the appends of a commit. Together they name all runs that may
+// exist, and all ends that were acknowledged.
+func (sc *Scheduler) restoreTask(t *task, p taskProgress, expires time.Time) {
+	if !t.step.Standing {
+		for _, f := range p.Failed {
+			if !slices.Contains(t.failedRuns, f) {
+				t.failedRuns = append(t.failedRuns, f)
+			}
+		}
+	}
+	if p.Done && !t.done {
+		t.done = true
+		t.step.unfinished--
+	}
+	if p.Last > t.lastRun || p.Last == t.lastRun && p.Saved != "" {
+		t.checkpoint = p.Saved
+	}
+	t.lastRun = max(t.lastRun, p.Last)
+	if t.done {
+		for _, r := range t.runs {
+			r.worker.removeRun(r)
+		}
+		t.runs = nil
+		return
+	}
+	for _, rp := range p.Runs {
+		if t.runByNumber(rp.Number) == nil {
+			sc.restoreRun(t, rp, expires)
+		}
+	}
+}
+
+// restoreRun assigns a run to its worker, unless the worker has a later life under
+// another name.
+func (sc *Scheduler) restoreRun(t *task, p runProgress, expires time.Time) {
+	life := spar.Life{ID: p.Life, Born: p.Born}
+	w := sc.workers[p.Node]
+	if w == nil {
+		w = &worker{node: p.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, leasesExpire: expires}
+		sc.workers[p.Node] = w
+	}
+	if w.info.Life != life && w.info.Life.ID != life.ID {
+		if w.info.Life.Born > life.Born {
+			return
+		}
+		sc.endLife(w, "worker in a new life")
+		w = &worker{node: p.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, leasesExpire: expires}
+		sc.workers[p.Node] = w
+	}
+	w.info.Life.Born = max(w.info.Life.Born, life.Born)
+	r := &run{task: t, worker: w, number: p.Number, ordered: true, pace: 100, started: expires}
+	t.runs = append(t.runs, r)
+	w.addRun(r)
+}
+
+// completeGangs marks all tasks of a gang as done if one of them is: an owner may have
+// ended after it had stored some of them. All other changes of a job that end it are
+// stored with its state alone.
+func (sc *Scheduler) completeGangs(now time.Time) {
+	for j := range sc.activeJobs {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.Gang && s.unfinished < len(s.tasks) {
+					sc.completeTasks(s.tasks)
+				}
+			}
+		}
+		if j.isComplete() {
+			sc.endJob(j, Completed, now)
+		}
+	}
+}
+
+// ensureOccurrence adds an occurrence, and those before it, that do not exist yet.
+func (j *job) ensureOccurrence(number int) error {
+	if number < 0 || number >= max(j.Times, 1) {
+		return errors.Newf("the job has no occurrence %d", number)
+	}
+	for k := len(j.occurrences); k <= number; k++ {
+		j.addOccurrence(k, j.First.Add(time.Duration(k)*j.Interval))
+	}
+	return nil
+}
--- a/shard/run_end.go
+++ b/shard/run_end.go
@@ -26,7 +26,7 @@
 		sc.confirmRun(r, now)
 		sc.removeRun(r)
 	}
-	sc.markChanged(j)
+	sc.markTaskChanged(t)
 	sc.onEvent(Event{Name: "run ended", Task: e.Task.String(), Run: e.Run, Node: w.node, Reason: string(e.Ending)})
 	if t.done {
 		return
@@ -60,20 +60,26 @@
 	if t.step.Gang {
 		completed = t.step.tasks
 	}
-	for _, t := range completed {
+	sc.completeTasks(completed)
+	j := t.step.job
+	if !j.hasEnded() && j.isComplete() {
+		sc.endJob(j, Completed, now)
+	}
+}
+
+// completeTasks marks tasks as done and stops their other runs.
+func (sc *Scheduler) completeTasks(tasks []*task) {
+	for _, t := range tasks {
 		if t.done {
 			continue
 		}
 		t.done = true
 		t.step.unfinished--
+		sc.markTaskChanged(t)
 		for _, r := range t.runs {
 			sc.stopRun(r)
 		}
 	}
-	j := t.step.job
-	if !j.hasEnded() && j.isComplete() {
-		sc.endJob(j, Completed, now)
-	}
 }
 
 // isComplete reports whether every task of every occurrence is done.
@@ -100,20 +106,32 @@
 	}
 	t.lastFailedNode = w.node
 	s := t.step
-	counted := s.tasks[:1]
-	if !s.Gang {
-		counted = []*task{t}
+	if s.Standing {
+		return
 	}
-	for _, t := range counted {
-		if !slices.Contains(t.failedRuns, number) {
-			t.failedRuns = append(t.failedRuns, number)
-		}
+	counted := t
+	if s.Gang {
+		counted = s.tasks[0]
 	}
-	j := s.job
-	if !s.Standing && len(counted[0].failedRuns) >= max(j.policy.MaxAttempts, 1) && !j.hasEnded() {
-		j.failure = fmt.Sprintf("task %s failed %d times", t.ref(), len(counted[0].failedRuns))
-		sc.endJob(j, Failed, now)
+	if !slices.Contains(counted.failedRuns, number) {
+		counted.failedRuns = append(counted.failedRuns, number)
+		sc.markTaskChanged(counted)
 	}
+	if counted.hasFailedTooOften() && !s.job.hasEnded() {
+		sc.failJob(counted, now)
+	}
+}
+
+// hasFailedTooOften reports whether a task has failed as often as its queue allows.
+func (t *task) hasFailedTooOften() bool {
+	return len(t.failedRuns) >= max(t.step.job.policy.MaxAttempts, 1)
+}
+
+// failJob ends the job of a task that has failed too often.
+func (sc *Scheduler) failJob(t *task, now time.Time) {
+	j := t.step.job
+	j.failure = fmt.Sprintf("task %s failed %d times", t.ref(), len(t.failedRuns))
+	sc.endJob(j, Failed, now)
 }
 
 // stopGang stops the remaining runs of a gang after one of them has ended.
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -18,8 +18,13 @@
 	MaxLease time.Duration
 	// Retention is how long a job stays readable after its end.
 	Retention time.Duration
+	// RecordBytes is the largest value of a record that the store accepts, or 0 for
+	// defaultRecordBytes.
+	RecordBytes int
 }
 
+func (l Limits) recordBytes() int { return cmp.Or(l.RecordBytes, defaultRecordBytes) }
+
 // Scheduler holds the state of a shard and decides for its jobs. Its methods
 // must not be called concurrently.
 type Scheduler struct {
@@ -46,9 +51,9 @@
 	pendingStops map[*run]bool
 	pendingPaces map[*run]bool
 	pendingAcks  map[*worker]int64
-	// droppedJobs and droppedCrashes are the jobs whose records, and whose records
-	// of crashes, the next commit drops.
-	droppedJobs, droppedCrashes []string
+	// droppedJobs are the jobs whose records the next commit drops, and droppedKeys
+	// the keys of further records.
+	droppedJobs, droppedKeys []string
 	// stepsAwaitingAdvice are the steps of queues that require advice which the
 	// last Plan could not place, and adviceInFlight counts the unanswered
 	// requests.
@@ -184,14 +189,9 @@
 	}
 }
 
-// markChanged has the next commit store the progress of a job.
-func (sc *Scheduler) markChanged(j *job) {
-	sc.changedJobs[j] = true
-}
-
 // removeRun removes a run from its worker and its task.
 func (sc *Scheduler) removeRun(r *run) {
-	delete(r.worker.runs, r)
+	r.worker.removeRun(r)
 	delete(sc.pendingStops, r)
 	delete(sc.pendingPaces, r)
 	if r.task.step.Fills {
@@ -204,7 +204,7 @@
 	for i, o := range r.task.runs {
 		if o == r {
 			r.task.runs = append(r.task.runs[:i], r.task.runs[i+1:]...)
-			sc.markChanged(r.task.step.job)
+			sc.markTaskChanged(r.task)
 			return
 		}
 	}
@@ -289,7 +289,7 @@
 		delete(sc.changedJobs, j)
 		sc.droppedJobs = append(sc.droppedJobs, j.ID)
 		if j.crashesStored {
-			sc.droppedCrashes = append(sc.droppedCrashes, j.ID)
+			sc.droppedKeys = append(sc.droppedKeys, crashPrefix+j.ID)
 		}
 	}
 	for id, at := range sc.earlyCancels {
--- a/shard/session.go
+++ b/shard/session.go
@@ -53,10 +53,10 @@
 func (sc *Scheduler) transferRuns(w, old *worker) {
 	for r := range old.runs {
 		r.worker = w
-		w.runs[r] = true
-		sc.markChanged(r.task.step.job)
+		w.addRun(r)
+		sc.markTaskChanged(r.task)
 	}
-	old.runs = map[*run]bool{}
+	old.runs, old.room = map[*run]bool{}, spar.Size{}
 }
 
 // RemoveWorker ends the life of a worker that has announced its departure and
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -19,7 +19,9 @@
 	// leasesExpire is when all leases on the worker have expired if no more are
 	// granted.
 	leasesExpire time.Time
-	runs         map[*run]bool
+	// runs are the runs that may be on the worker, and room their size; see addRun.
+	runs map[*run]bool
+	room spar.Size
 	// nameReused reports whether the previous life had the same name, so that
 	// start orders to it may still arrive in this one.
 	nameReused bool
@@ -129,14 +131,30 @@
 	}
 }
 
-// room is the size of all runs that are assigned to the worker, also of those that
-// are being stopped. Fills take no processors from it.
-func (w *worker) room() spar.Size {
-	var a allocation
-	for r := range w.runs {
-		a.addTasks(r.task.step, r.pace, 1)
+// addRun assigns a run to the worker. It takes room until it is removed, also while
+// it is being stopped.
+func (w *worker) addRun(r *run) {
+	if !w.runs[r] {
+		w.runs[r] = true
+		w.room = w.room.Add(r.task.step.reservedSize())
+	}
+}
+
+// removeRun removes a run from the worker.
+func (w *worker) removeRun(r *run) {
+	if w.runs[r] {
+		delete(w.runs, r)
+		w.room = w.room.Sub(r.task.step.reservedSize())
+	}
+}
+
+// reservedSize is the room that a run of the step takes. Fills reserve no processors.
+func (s *step) reservedSize() spar.Size {
+	size := s.Size
+	if s.Fills {
+		size.CPUMilli = 0
 	}
-	return a.reserved
+	return size
 }
 
 // runsOfStep counts the runs of a step on the worker.
--- a/stand/httpd/store.go
+++ b/stand/httpd/store.go
@@ -66,6 +66,8 @@
 	}
 	offset, err := s.Append(topicName(c), p, records)
 	switch {
+	case errors.Is(err, spar.ErrInvalid):
+		writeJSON(c, fasthttp.StatusRequestEntityTooLarge, map[string]any{})
 	case errors.Is(err, spar.ErrFenced):
 		writeJSON(c, fasthttp.StatusConflict, map[string]any{"reason": "fenced"})
 	case err != nil:
--- a/stand/store/store.go
+++ b/stand/store/store.go
@@ -16,6 +16,13 @@
 // Partitions is the number of partitions of a topic.
 const Partitions = 12
 
+// RecordBytes and CallBytes are the largest record and the largest append that the
+// store accepts.
+const (
+	RecordBytes = 256 << 10
+	CallBytes   = 2 << 20
+)
+
 // keptOffsets is the number of a producer's last appends of which a repeat is
 // recognized and answered with the offset of the first.
 const keptOffsets = 5
@@ -78,6 +85,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
+	if err := checkSizes(records); err != nil {
+		return 0, err
+	}
 	t := s.topic(topicName)
 	if p != nil {
 		if offset, done, err := t.checkProducer(*p, len(records) == 0); done || err != nil {
@@ -107,6 +117,23 @@
 	return offset, nil
 }
 
+// checkSizes rejects records that exceed the limits of the store. A record also
+// holds its key and one byte for the length of the key.
+func checkSizes(records []spar.Record) error {
+	total := 0
+	for _, r := range records {
+		n := 1 + len(r.Key) + len(r.Value)
+		if n > RecordBytes {
+			return errors.Mark(errors.Mark(errors.Newf("store: record %q of %d bytes, at most %d", r.Key, n, RecordBytes), spar.ErrInvalid), spar.ErrRefused)
+		}
+		total += 4 + n
+	}
+	if total > CallBytes {
+		return errors.Mark(errors.Mark(errors.Newf("store: append of %d bytes, at most %d", total, CallBytes), spar.ErrInvalid), spar.ErrRefused)
+	}
+	return nil
+}
+
 // checkProducer checks a producer's epoch and sequence number. It returns true,
 // with the offset of the first append, when nothing is to be appended: a repeat
 // or an append without records, which only raises the epoch.
