Interference model: its record is bounded, whatever images callers name

Cause: the model keeps an estimate for each pair of images ever seen together and was stored as one record, without a bound; the store refused it for ever.

Change: the record holds the pairs that were observed last in at most 128 KiB, and the model keeps at most 8,192 pairs in memory. What is left out is learnt again.

--- a/interf/model.go
+++ b/interf/model.go
@@ -34,7 +34,11 @@
 
 // costEstimate is the estimate for a pair of images: the slack that fills on
 // all of a worker's processors would take, and the variance of that estimate.
-type costEstimate struct{ mean, variance float64 }
+type costEstimate struct {
+	mean, variance float64
+	// observedAt is the time of the last observation; zero for a restored estimate.
+	observedAt time.Time
+}
 
 const (
 	// priorCost is the assumed cost of an image pair without observations. With
@@ -60,6 +64,9 @@
 	// minCPUFraction is the CPU use below which a fill has no measurable effect
 	// on a tail latency.
 	minCPUFraction = 0.005
+	// maxPairs is the number of image pairs that are kept. Callers choose the names
+	// of images, so there may be any number of them.
+	maxPairs = 8192
 )
 
 func (m *Model) costEstimate(serving, fill string) costEstimate {
@@ -121,7 +128,7 @@
 	for _, f := range fills {
 		variance += m.costEstimate(s.Image, f.Image).variance * f.CPUFraction * f.CPUFraction
 	}
-	m.updateCosts(s.Image, fills, residual, variance)
+	m.updateCosts(s.Image, fills, residual, variance, now)
 	e.correct(residual, variance)
 }
 
@@ -145,7 +152,7 @@
 
 // updateCosts spreads a residual over the cost estimates of the given fills, by
 // their share in the variance of the observation.
-func (m *Model) updateCosts(serving string, fills []FillUsage, residual, variance float64) {
+func (m *Model) updateCosts(serving string, fills []FillUsage, residual, variance float64, now time.Time) {
 	if m.costs == nil {
 		m.costs = map[imagePair]*costEstimate{}
 	}
@@ -157,8 +164,20 @@
 		gain := estimate.variance * f.CPUFraction / variance
 		estimate.mean = min(max(estimate.mean-gain*residual, 0), maxCost)
 		estimate.variance = max(estimate.variance*(1-gain*f.CPUFraction), minCostVariance)
+		estimate.observedAt = now
 		m.costs[imagePair{serving, f.Image}] = &estimate
 	}
+	if len(m.costs) > maxPairs {
+		m.evictOldest()
+	}
+}
+
+// evictOldest drops the eighth of the pairs whose last observation is the longest ago.
+func (m *Model) evictOldest() {
+	pairs := m.pairsByObservation()
+	for _, p := range pairs[len(pairs)-len(pairs)/8:] {
+		delete(m.costs, p)
+	}
 }
 
 // ForgetJob drops the slack estimates of a job that has ended.
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -20,6 +20,9 @@
 	modelKey = "#clash"
 	// modelStoreInterval is the shortest time between two writes of the model.
 	modelStoreInterval = 2 * time.Second
+	// maxModelBytes is the size of the stored model. What it leaves out is learnt
+	// again.
+	maxModelBytes = 128 << 10
 )
 
 // Commit holds changes that must be stored, and the effects that may be
@@ -54,7 +57,7 @@
 		out.Records = append(out.Records, spar.Record{Key: key})
 	}
 	if sc.interference.PairCount() > 0 && sc.now.Sub(sc.modelCheckedAt) >= modelStoreInterval {
-		if v := sc.interference.Encode(); !bytes.Equal(v, sc.storedModel) {
+		if v := sc.interference.Encode(min(maxModelBytes, sc.limits.recordBytes())); !bytes.Equal(v, sc.storedModel) {
 			out.Records = append(out.Records, spar.Record{Key: modelKey, Value: v})
 			sc.storedModel = v
 		}
