Link: messages of any size are sent in frames that the receiver accepts

Change: lists, ends, outcomes and orders are split by size, with everything else, such as that the lists are complete, in the last message. A sender learns that a message is too large instead of losing its connection.

Earlier builds understand the parts: they are messages as before.

--- a/agent/exec/life.go
+++ b/agent/exec/life.go
@@ -125,6 +125,7 @@
 			e.Runs = append(e.Runs, link.LostRun{Task: k.task, Run: k.run, Age: l.failedAt - s.at, Unconfirmed: !s.confirmed})
 		}
 	}
+	e.Shorten()
 	return e
 }
 
--- a/agent/exec/report.go
+++ b/agent/exec/report.go
@@ -71,7 +71,17 @@
 	if m.Heartbeat == 0 && !full && len(m.Running) == 0 && len(m.Ended) == 0 && len(m.Outcomes) == 0 {
 		return nil
 	}
-	return s.conn.Send(m)
+	return s.send(m)
+}
+
+// send sends a message in as many frames as its size needs.
+func (s *session) send(m *link.AgentMessage) error {
+	for _, piece := range m.Split() {
+		if err := s.conn.Send(piece); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // queueOutcome queues an outcome for the owner.
@@ -104,7 +114,7 @@
 			if len(m.Outcomes) == 0 {
 				continue
 			}
-			if err := s.conn.Send(m); err != nil {
+			if err := s.send(m); err != nil {
 				done <- err
 				return
 			}
--- a/entry/owner/session.go
+++ b/entry/owner/session.go
@@ -96,13 +96,23 @@
 		case <-s.ended:
 			return
 		case m := <-s.queue:
-			if err := s.conn.Send(m); err != nil {
+			if err := s.send(m); err != nil {
 				s.conn.Close()
 			}
 		}
 	}
 }
 
+// send sends a message in as many frames as its size needs.
+func (s *session) send(m *link.OwnerMessage) error {
+	for _, piece := range m.Split() {
+		if err := s.conn.Send(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // receiveLoop applies the agent's messages until the connection ends.
 func (t *term) receiveLoop(s *session) error {
 	for {
--- a/link/conn.go
+++ b/link/conn.go
@@ -26,6 +26,10 @@
 // frame's number, 4 bytes each.
 const headerBytes = 8
 
+// ErrTooLarge means that a message exceeds a frame. The receiver would drop the
+// connection.
+var ErrTooLarge = errors.New("message exceeds a frame")
+
 // Conn sends messages of type Out and receives messages of type In. Frames are
 // numbered, so that the receiver detects a lost one.
 type Conn[In, Out any] struct {
@@ -47,6 +51,9 @@
 	if err != nil {
 		return errors.NewAssertionErrorWithWrappedErrf(err, "encode message %T", m)
 	}
+	if len(body) > maxFrameBytes {
+		return errors.Wrapf(ErrTooLarge, "message %T of %d bytes, at most %d", m, len(body), maxFrameBytes)
+	}
 	frame := make([]byte, headerBytes, headerBytes+len(body))
 	binary.BigEndian.PutUint32(frame, uint32(len(body)))
 	c.mu.Lock()
