Entry: a job beyond a record of the store is refused with its field and limit

One with many steps and long names exceeds it; the store refused the append, the caller was told to come again with 503, for ever, and so were the callers whose records went with the same append.

Change: the entry compares the record with the limit before it sends anything and answers 400 with the field, the size and the limit, as for other invalid jobs. Records that the store refuses together with others are not called invalid.

--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -252,6 +252,10 @@
 		w.pause = min(max(2*w.pause, retryPause), maxRetryPause)
 		w.nextAt = time.Now().Add(w.pause)
 	}
+	if len(batch) > 1 && errors.Is(err, spar.ErrInvalid) {
+		// The content that is refused may be that of another record.
+		err = errors.Mark(errors.Newf("append of %d records: %v", len(batch), err), spar.ErrRefused)
+	}
 	for _, it := range batch {
 		it.inFlight--
 		switch {
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -183,8 +183,7 @@
 func (s *Server) submit(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id string) {
 	j, err := s.format.DecodeJob(id, q.Name, time.Now(), c.PostBody())
 	if err != nil {
-		s.Info("job refused", "job", id, "queue", q.Name, "reason", "invalid body", "err", err)
-		c.Error(err.Error(), fasthttp.StatusBadRequest)
+		s.refuseInvalid(c, id, q.Name, err)
 		return
 	}
 	if q.Advised && !s.format.HasAdviser {
@@ -211,6 +210,9 @@
 			s.Info(message, "job", id, "queue", queue, "version", s.config.Load().Rules.Version, "unsure", unanswered, "took", time.Since(begun))
 			s.Counter("stored").Inc(1)
 			return
+		case errors.Is(err, spar.ErrInvalid) && unanswered == 0:
+			s.refuseInvalid(c, id, queue, err)
+			return
 		case errors.Is(err, spar.ErrRefused) && unanswered == 0:
 			s.refuse(c, id, "store refuses", err)
 			return
@@ -273,6 +275,13 @@
 	}
 }
 
+// refuseInvalid answers that a job cannot be accepted as it is. The error names the
+// field.
+func (s *Server) refuseInvalid(c *fasthttp.RequestCtx, id, queue string, err error) {
+	s.Info("job refused", "job", id, "queue", queue, "reason", "invalid body", "err", err)
+	c.Error(err.Error(), fasthttp.StatusBadRequest)
+}
+
 // refuse answers at once that nothing was done and when to try again.
 func (s *Server) refuse(c *fasthttp.RequestCtx, id, reason string, err error) {
 	s.Info("request refused", "job", id, "method", string(c.Method()), "reason", reason, "configuration_age", time.Since(s.config.FreshAt()), "err", err)
--- a/entry/owner/settings.go
+++ b/entry/owner/settings.go
@@ -3,6 +3,9 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/cockroachdb/errors"
 )
 
 // Settings of the election and of the owner.
@@ -56,6 +59,15 @@
 	return cmp.Or(s.RecordBytes, DefaultSettings().RecordBytes) - recordOverhead
 }
 
+// checkValue returns an error if the store refuses a record for the size of its value.
+func (s Settings) checkValue(r spar.Record) error {
+	if len(r.Value) <= s.valueBytes() {
+		return nil
+	}
+	err := errors.Newf("%d bytes when stored, at most %d", len(r.Value), s.valueBytes())
+	return errors.Mark(errors.Mark(err, spar.ErrInvalid), spar.ErrRefused)
+}
+
 // appendBytes is the largest append of several records.
 func (s Settings) appendBytes() int {
 	return min(cmp.Or(s.CallBytes, DefaultSettings().CallBytes), maxAppendBytes)
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -36,9 +36,14 @@
 // refused or its answer is late, the record is also sent through another entry,
 // which may reach the store when this one does not.
 
-// Submit stores a submission.
+// Submit stores a submission. It fails with spar.ErrInvalid if the store would refuse
+// the record for its size.
 func (c *Client) Submit(ctx context.Context, j spar.Job) error {
-	return c.write(ctx, spar.Record{Key: JobPrefix + j.ID, Value: shard.EncodeJob(j)})
+	r := spar.Record{Key: JobPrefix + j.ID, Value: shard.EncodeJob(j)}
+	if err := c.candidate.settings.checkValue(r); err != nil {
+		return errors.Wrapf(err, "steps: %d", len(j.Steps))
+	}
+	return c.write(ctx, r)
 }
 
 // Cancel stores a cancel.
@@ -182,6 +187,10 @@
 		rc.Error("key: want that of a submission or a cancel, with a value", fasthttp.StatusBadRequest)
 		return
 	}
+	if err := c.settings.checkValue(spar.Record{Key: key, Value: rc.PostBody()}); err != nil {
+		rc.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
 	// An append may still run after the request has been answered, when its body
