Agent: a stop ends the start calls of its run

Cause: the agent repeated an unanswered start beside the stop of the same run, and the worker carried out the first of the two that it answered. Waiting starts and stops shared twelve connections. Evidence: 'start not answered' goes on for a run after 'stop failed, will be retried' of the same run. Ruled out: an order that the worker carries out late (the call is sent after the cancel), a late stop of the owner (its message is there within milliseconds).

Change: a stop ends every later start call of its run, also one that waits for a connection, sleeps before a repeat or arrives in a later message; what was sent is settled by the answer to the stop. Stops and paces have connections of their own. Slots bound single calls, not orders with all their repeats.

--- a/agent/exec/orders.go
+++ b/agent/exec/orders.go
@@ -10,13 +10,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-const (
-	// orderRetryDelay is the delay before a failed order is retried.
-	orderRetryDelay = 30 * time.Millisecond
-	// maxRefusedConnections is the number of connections that the worker may
-	// refuse before a start is reported to the owner as failed.
-	maxRefusedConnections = 3
-)
+// orderRetryDelay is the delay before a failed order is retried.
+const orderRetryDelay = 30 * time.Millisecond
 
 // receive handles the owner's messages until the connection fails.
 func (s *session) receive(ctx context.Context) <-chan error {
@@ -48,13 +43,16 @@
 	}
 	s.mu.Unlock()
 	for _, o := range m.Starts {
-		s.runOrder(ctx, func() { s.start(ctx, o) })
+		if startCtx, ok := s.beginStart(ctx, runKey{o.Task, o.Run}); ok {
+			go s.start(startCtx, o)
+		}
 	}
 	for _, o := range m.Stops {
-		s.runOrder(ctx, func() { s.stop(ctx, o.Task, o.Run) })
+		s.endStart(runKey{o.Task, o.Run})
+		go s.stop(ctx, o.Task, o.Run)
 	}
 	for _, o := range m.Paces {
-		s.runOrder(ctx, func() { s.pace(ctx, o) })
+		go s.pace(ctx, o)
 	}
 }
 
@@ -76,88 +74,12 @@
 	}
 }
 
-// runOrder runs an order concurrently with others, at most maxParallelOrders at
-// a time.
-func (s *session) runOrder(ctx context.Context, order func()) {
-	go func() {
-		select {
-		case <-ctx.Done():
-			return
-		case s.orderSlots <- struct{}{}:
-		}
-		defer func() { <-s.orderSlots }()
-		order()
-	}()
-}
-
-// start starts a run on the worker. A call that was not answered may still be
-// carried out later. After such a call the outcome is known only from a
-// successful start or from an answered stop.
-func (s *session) start(ctx context.Context, o spar.StartOrder) {
-	maybeStarted := false
-	for attempts := 1; ctx.Err() == nil; attempts++ {
-		current := s.heartbeats.Load().Info
-		fits := o.Room.Fits(current.Size)
-		switch {
-		case !maybeStarted && current.Draining:
-			s.queueOutcome(link.StartOutcome{Task: o.Task, Run: o.Run, Result: spar.StartDraining})
-			return
-		case !maybeStarted && !fits:
-			s.Info("start refused", "task", o.Task, "run", o.Run, "reason", spar.StartNoRoom, "room", o.Room, "size", current.Size)
-			s.queueOutcome(link.StartOutcome{Task: o.Task, Run: o.Run, Result: spar.StartNoRoom})
-			return
-		case !fits:
-			s.Info("unanswered start is stopped", "task", o.Task, "run", o.Run, "reason", spar.StartNoRoom, "room", o.Room, "size", current.Size)
-			s.stop(ctx, o.Task, o.Run)
-			return
-		}
-		s.mu.Lock()
-		o.Until = s.workerLeaseEnd
-		s.mu.Unlock()
-		started := time.Now()
-		s.life.recordStart(runKey{o.Task, o.Run}, s.clock())
-		result, err := s.worker.Start(ctx, s.target, o)
-		if ctx.Err() == nil && (err == nil || errors.Is(err, spar.ErrDisconnected)) {
-			// A start without an answer says nothing about the worker: it may be
-			// carried out late. The hold calls tell whether the worker is silent.
-			s.life.recordResult(err, s.clock())
-		}
-		s.Timer("start").Record(time.Since(started))
-		switch {
-		case err == nil && result == spar.StartDone:
-			s.life.confirmRun(runKey{o.Task, o.Run})
-			s.queueOutcome(link.StartOutcome{Task: o.Task, Run: o.Run, Result: result})
-			return
-		case err == nil && !maybeStarted && result != spar.StartOld:
-			s.Info("start refused", "task", o.Task, "run", o.Run, "reason", result)
-			s.life.removeRun(runKey{o.Task, o.Run})
-			s.queueOutcome(link.StartOutcome{Task: o.Task, Run: o.Run, Result: result})
-			return
-		case err == nil:
-			s.stop(ctx, o.Task, o.Run)
-			return
-		case errors.Is(err, spar.ErrOtherLife):
-			// The worker was restarted, so this session ends. The next session
-			// determines the outcome of this order from the worker's lists.
-			return
-		case errors.Is(err, spar.ErrRefused) && !maybeStarted:
-			if attempts >= maxRefusedConnections {
-				s.queueOutcome(link.StartOutcome{Task: o.Task, Run: o.Run, Result: spar.StartUnhealthy})
-				return
-			}
-		default:
-			maybeStarted = true
-			s.Warn("start not answered", "task", o.Task, "run", o.Run, "err", err)
-		}
-		track.Pause(ctx, orderRetryDelay)
-	}
-}
-
 // stop stops a run on the worker and retries until the call is answered. From
 // then on the run is on one of the worker's lists or will never start.
 func (s *session) stop(ctx context.Context, task spar.TaskRef, run int64) {
-	for ctx.Err() == nil {
+	for s.stopCalls.acquire(ctx) {
 		err := s.worker.Stop(ctx, s.target, task, run)
+		s.stopCalls.release()
 		if err == nil {
 			s.mu.Lock()
 			s.stoppedRuns[runKey{task, run}] = s.listNumber
@@ -173,6 +95,10 @@
 }
 
 func (s *session) pace(ctx context.Context, o link.Pace) {
+	if !s.paceCalls.acquire(ctx) {
+		return
+	}
+	defer s.paceCalls.release()
 	if err := s.worker.Pace(ctx, s.target, o.Task, o.Run, o.Percent); err != nil {
 		s.Warn("pace change failed", "task", o.Task, "run", o.Run, "percent", o.Percent, "err", err)
 	}
--- a/agent/exec/report.go
+++ b/agent/exec/report.go
@@ -27,6 +27,7 @@
 			continue
 		}
 		delete(s.stoppedRuns, k)
+		delete(s.stopOrdered, k)
 		if !listed[k] {
 			s.life.removeRun(k)
 			s.outcomes = append(s.outcomes, link.StartOutcome{Task: k.task, Run: k.run, Result: spar.StartNever})
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -25,9 +25,12 @@
 	// maxHoldAttempts is the number of consecutive failed hold calls after which
 	// the session ends and the lease is no longer extended.
 	maxHoldAttempts = 4
-	// maxParallelOrders limits the orders that run concurrently, and with them
-	// the connections to the worker.
-	maxParallelOrders = 12
+	// maxStartCalls, maxStopCalls and maxPaceCalls limit the calls of each kind in
+	// flight, and with them the connections to the worker. Stops have connections of
+	// their own, since a worker that hangs leaves the starts without an answer.
+	maxStartCalls = 12
+	maxStopCalls  = 8
+	maxPaceCalls  = 4
 )
 
 // session serves one owner and one life of the worker.
@@ -37,7 +40,9 @@
 	conn       *link.Conn[link.OwnerMessage, link.AgentMessage]
 	target     spar.Target
 	lease      time.Duration
-	orderSlots chan struct{}
+	startCalls slots
+	stopCalls  slots
+	paceCalls  slots
 
 	mu sync.Mutex
 	// workerLeaseEnd is the end of the lease in ms on the worker's clock.
@@ -56,6 +61,11 @@
 	// session's token, and that the owner was told so.
 	complete bool
 	outcomes []link.StartOutcome
+	// starting holds, for each start order in progress, the function that ends it.
+	starting map[runKey]context.CancelFunc
+	// stopOrdered holds the runs that must not be started any more: those whose stop
+	// was ordered, until it is known what became of them.
+	stopOrdered map[runKey]bool
 	// stoppedRuns holds the runs whose stop was answered, with the number of the
 	// last hold call made before the answer. The lists of a later call show
 	// whether the run had started.
@@ -82,7 +92,9 @@
 
 func newSession(e *Executor, life *lifeRecord, c *link.Conn[link.OwnerMessage, link.AgentMessage], w link.Welcome, h Heartbeat) *session {
 	return &session{
-		Executor: e, life: life, conn: c, lease: w.Lease, orderSlots: make(chan struct{}, maxParallelOrders),
+		Executor: e, life: life, conn: c, lease: w.Lease,
+		startCalls: make(slots, maxStartCalls), stopCalls: make(slots, maxStopCalls), paceCalls: make(slots, maxPaceCalls),
+		starting: map[runKey]context.CancelFunc{}, stopOrdered: map[runKey]bool{},
 		target:    spar.Target{Address: h.Address, Life: h.Info.Life, Token: w.Token},
 		ungranted: map[int64]sentHeartbeat{}, reportedRunning: map[spar.TaskRef]spar.Running{}, stoppedRuns: map[runKey]int64{},
 		ackReceived: make(chan struct{}, 1), outcomeQueued: make(chan struct{}, 1),
--- a/prove/simul/random_test.go
+++ b/prove/simul/random_test.go
@@ -182,7 +182,7 @@
 		}
 		s.schedule(duration/2, func() { s.restartWorker(n, id) })
 	case 16:
-		n.workerClient.SetFaults(worker.Faults{LateShare: 0.3, LateBy: maxOrderDelay / 2})
+		n.workerClient.SetFaults(worker.Faults{LateShare: 0.3, LateBy: maxOrderDelay / 2, MuteShare: 0.2})
 		s.schedule(duration, func() { n.workerClient.SetFaults(worker.Faults{}) })
 	case 17:
 		n.workerClient.SetFaults(worker.Faults{Unreachable: true})
--- a/stand/worker/client.go
+++ b/stand/worker/client.go
@@ -15,6 +15,9 @@
 type Faults struct {
 	// Unreachable drops every call: it is not carried out and gets no answer.
 	Unreachable bool
+	// MuteShare is the share of starts and stops that are dropped like that, while
+	// the other calls are answered.
+	MuteShare float64
 	// LateShare is the share of calls that get no answer and are carried out
 	// later, after 0.3 to 1.3 times LateBy.
 	LateShare float64
@@ -47,6 +50,13 @@
 	c.faults = f
 }
 
+// isMuted draws whether a start or a stop is dropped.
+func (c *Client) isMuted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64() < c.faults.MuteShare
+}
+
 func (c *Client) drawFaults() (unreachable, late bool, lateBy time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -75,11 +85,17 @@
 
 // Start implements spar.Worker.
 func (c *Client) Start(ctx context.Context, t spar.Target, o spar.StartOrder) (spar.StartResult, error) {
+	if c.isMuted() {
+		return "", delay.NoAnswer(ctx, callee, noAnswerTimeout)
+	}
 	return order(ctx, c, func(late bool) (spar.StartResult, error) { return c.worker.start(t, o, late) })
 }
 
 // Stop implements spar.Worker.
 func (c *Client) Stop(ctx context.Context, t spar.Target, task spar.TaskRef, run int64) error {
+	if c.isMuted() {
+		return delay.NoAnswer(ctx, callee, noAnswerTimeout)
+	}
 	_, err := order(ctx, c, func(bool) (struct{}, error) { return struct{}{}, c.worker.Stop(t, task, run) })
 	return err
 }
