Owner: a job's submission is dropped before its progress

Cause: the progress was dropped with a commit and the submission after it, in another topic; a failure of that was not repeated. A submission without progress is a new job. Evidence: 'could not drop the submissions of ended jobs' of one owner, then 'run claimed' with run 1 of the same jobs by the next.

Change: submissions are dropped first, beside the commits and until the store has answered; then the jobs are forgotten and their progress is dropped. Progress without a submission is dropped by the next owner.

--- /dev/null
+++ b/entry/owner/expiry.go
@@ -0,0 +1,53 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/track"
+)
+
+const (
+	// expiryInterval is the time between two looks for jobs whose retention is over.
+	expiryInterval = time.Second
+	// maxExpiredJobs bounds the jobs that are dropped together.
+	maxExpiredJobs = 500
+)
+
+// dropExpiredJobs drops the submissions of the jobs whose retention is over, and then has
+// them forgotten. It works beside the loop, so that a partition that is down does not hold
+// up commits.
+func (t *term) dropExpiredJobs(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		for ctx.Err() == nil {
+			track.Pause(ctx, expiryInterval)
+			t.stateMu.Lock()
+			ids := t.scheduler.ExpiredJobs(maxExpiredJobs, time.Now())
+			t.stateMu.Unlock()
+			if len(ids) == 0 || !t.isValid() {
+				continue
+			}
+			if err := t.dropSubmissions(ctx, ids); err != nil {
+				continue
+			}
+			t.stateMu.Lock()
+			t.scheduler.ForgetJobs(ids)
+			t.stateMu.Unlock()
+			t.wakeLoop()
+		}
+		done <- nil
+	}()
+	return done
+}
+
+// dropSubmissions drops the submissions and the cancels of jobs, and repeats that until it
+// is answered or the context ends.
+func (t *term) dropSubmissions(ctx context.Context, ids []string) error {
+	var records []spar.Record
+	for _, id := range ids {
+		records = append(records, spar.Record{Key: JobPrefix + id}, spar.Record{Key: CancelPrefix + id})
+	}
+	return t.retryStoreCall(ctx, 0, func() error { return t.write(ctx, JobsTopic, nil, records) })
+}
--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/shard"
 	"github.com/berylspar/spar/track"
@@ -84,9 +83,8 @@
 	return now.Sub(t.jobs.FreshAt()) < maxInputAge && now.Sub(t.config.FreshAt()) < maxInputAge
 }
 
-// storeCommit stores a commit and drops the submissions of the jobs that it
-// forgets. It reports whether the commit is stored; a job whose progress the store
-// refuses has failed then.
+// storeCommit stores a commit. It reports whether the commit is stored; a job whose
+// progress the store refuses has failed then.
 func (t *term) storeCommit(ctx context.Context, c *shard.Commit) bool {
 	if len(c.Records) > 0 {
 		begun := time.Now()
@@ -101,24 +99,9 @@
 			t.stateMu.Unlock()
 		}
 	}
-	if len(c.DroppedJobs) > 0 {
-		t.dropSubmissions(ctx, c.DroppedJobs)
-	}
 	return true
 }
 
-// dropSubmissions drops the submissions of ended jobs. If that fails, a later
-// owner finds the jobs ended and drops them.
-func (t *term) dropSubmissions(ctx context.Context, ids []string) {
-	var records []spar.Record
-	for _, id := range ids {
-		records = append(records, spar.Record{Key: JobPrefix + id}, spar.Record{Key: CancelPrefix + id})
-	}
-	if err := t.write(ctx, JobsTopic, nil, records); err != nil {
-		t.Warn("could not drop the submissions of ended jobs", "jobs", len(ids), "err", err)
-	}
-}
-
 // sendCommitted sends the messages that had to wait for a commit to be stored.
 func (t *term) sendCommitted(c *shard.Commit) {
 	t.stateMu.Lock()
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -126,11 +126,14 @@
 	if !t.takeOver(ctx) {
 		return
 	}
-	following := t.jobs.Run(ctx)
+	following, dropping := t.jobs.Run(ctx), t.dropExpiredJobs(ctx)
 	t.loop(ctx)
 	if err := <-following; err != nil {
 		t.Warn("following the jobs topic failed", "err", err)
 	}
+	if err := <-dropping; err != nil {
+		t.Warn("dropping expired jobs failed", "err", err)
+	}
 }
 
 // takeOver fences older owners, restores the stored state and publishes the
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -34,18 +34,16 @@
 	jobStates   map[*job]State
 	claimedRuns []*run
 	acks        map[*worker]int64
-	// DroppedJobs are the ended jobs whose submissions are to be deleted.
-	DroppedJobs []string
 }
 
 // Empty reports whether there is nothing to store and no effect to release.
 func (c *Commit) Empty() bool {
-	return len(c.Records) == 0 && len(c.acks) == 0 && len(c.claimedRuns) == 0 && len(c.DroppedJobs) == 0
+	return len(c.Records) == 0 && len(c.acks) == 0 && len(c.claimedRuns) == 0
 }
 
 // PrepareCommit collects and clears the changes since the last commit.
 func (sc *Scheduler) PrepareCommit() *Commit {
-	out := &Commit{jobStates: map[*job]State{}, claimedRuns: sc.claimedRuns, acks: sc.pendingAcks, DroppedJobs: sc.droppedJobs}
+	out := &Commit{jobStates: map[*job]State{}, claimedRuns: sc.claimedRuns, acks: sc.pendingAcks}
 	var heads, drops []spar.Record
 	for j := range sc.changedJobs {
 		r := j.takeChanges(sc.limits.recordBytes(), sc.now)
@@ -53,7 +51,7 @@
 		out.jobStates[j] = j.state
 	}
 	out.Records = slices.Concat(out.Records, heads, drops)
-	for _, key := range slices.Concat(sc.droppedKeys, sc.droppedJobs) {
+	for _, key := range sc.droppedKeys {
 		out.Records = append(out.Records, spar.Record{Key: key})
 	}
 	if sc.interference.PairCount() > 0 && sc.now.Sub(sc.modelCheckedAt) >= modelStoreInterval {
@@ -64,7 +62,7 @@
 		sc.modelCheckedAt = sc.now
 	}
 	sc.changedJobs, sc.claimedRuns, sc.pendingAcks = map[*job]bool{}, nil, map[*worker]int64{}
-	sc.droppedJobs, sc.droppedKeys = nil, nil
+	sc.droppedKeys = nil
 	return out
 }
 
--- a/shard/restore.go
+++ b/shard/restore.go
@@ -55,7 +55,9 @@
 func (sc *Scheduler) restoreJob(id string, value []byte, now, expires time.Time) error {
 	j := sc.jobs[id]
 	if j == nil {
-		return errors.New("the job is not among the submissions")
+		// The owner ended after it had dropped the submission.
+		sc.droppedKeys = append(sc.droppedKeys, id)
+		return nil
 	}
 	p, err := codec.Decode[progress](value)
 	if err != nil {
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -51,9 +52,8 @@
 	pendingStops map[*run]bool
 	pendingPaces map[*run]bool
 	pendingAcks  map[*worker]int64
-	// droppedJobs are the jobs whose records the next commit drops, and droppedKeys
-	// the keys of further records.
-	droppedJobs, droppedKeys []string
+	// droppedKeys are the keys of the records that the next commit drops.
+	droppedKeys []string
 	// stepsAwaitingAdvice are the steps of queues that require advice which the
 	// last Plan could not place, and adviceInFlight counts the unanswered
 	// requests.
@@ -257,9 +257,8 @@
 	return n
 }
 
-// Tick removes workers whose leases have expired, adds occurrences that are due
-// and drops ended jobs after their retention. now is a monotonic time and wall
-// the time of day.
+// Tick removes workers whose leases have expired and adds occurrences that are due.
+// now is a monotonic time and wall the time of day.
 func (sc *Scheduler) Tick(now, wall time.Time) {
 	sc.now = now
 	for _, w := range sc.workers {
@@ -279,24 +278,43 @@
 			j.addOccurrence(k, now)
 		}
 	}
-	for len(sc.retiredJobs) > 0 && now.Sub(sc.retiredJobs[0].endedAt) > sc.limits.Retention {
-		j := sc.retiredJobs[0]
-		if sc.hasRuns(j) {
+	for id, at := range sc.earlyCancels {
+		if now.Sub(at) > sc.limits.Retention {
+			delete(sc.earlyCancels, id)
+		}
+	}
+}
+
+// ExpiredJobs returns ended jobs whose retention is over, at most limit. Their submissions
+// are to be dropped, and after that the jobs forgotten: an owner that finds the submission
+// of a job without its progress starts the job.
+func (sc *Scheduler) ExpiredJobs(limit int, now time.Time) []string {
+	var out []string
+	for _, j := range sc.retiredJobs {
+		if len(out) == limit || now.Sub(j.endedAt) <= sc.limits.Retention || sc.hasRuns(j) {
 			break
 		}
-		sc.retiredJobs = sc.retiredJobs[1:]
-		delete(sc.jobs, j.ID)
+		out = append(out, j.ID)
+	}
+	return out
+}
+
+// ForgetJobs forgets jobs whose submissions were dropped, and has the next commit drop
+// their other records.
+func (sc *Scheduler) ForgetJobs(ids []string) {
+	for _, id := range ids {
+		j := sc.jobs[id]
+		if j == nil {
+			continue
+		}
+		delete(sc.jobs, id)
 		delete(sc.changedJobs, j)
-		sc.droppedJobs = append(sc.droppedJobs, j.ID)
+		sc.droppedKeys = append(sc.droppedKeys, id)
 		if j.crashesStored {
-			sc.droppedKeys = append(sc.droppedKeys, crashPrefix+j.ID)
-		}
-	}
-	for id, at := range sc.earlyCancels {
-		if now.Sub(at) > sc.limits.Retention {
-			delete(sc.earlyCancels, id)
+			sc.droppedKeys = append(sc.droppedKeys, crashPrefix+id)
 		}
 	}
+	sc.retiredJobs = slices.DeleteFunc(sc.retiredJobs, func(j *job) bool { return sc.jobs[j.ID] != j })
 }
 
 func (sc *Scheduler) hasRuns(j *job) bool {
--- a/stand/store/client.go
+++ b/stand/store/client.go
@@ -15,8 +15,10 @@
 type Faults struct {
 	// Unreachable drops every call: it is not carried out and gets no answer.
 	Unreachable bool
-	// Refuse rejects every call with spar.ErrRefused.
-	Refuse bool
+	// Refuse rejects every call with spar.ErrRefused, and RefuseTopic every append to
+	// one topic, whose partition is down.
+	Refuse      bool
+	RefuseTopic string
 	// Delay is added to every call.
 	Delay time.Duration
 	// LostShare is the share of writes that are carried out and not answered;
@@ -62,6 +64,19 @@
 	lost, late bool
 }
 
+// Faults returns the faults in force.
+func (c *Client) Faults() Faults {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.faults
+}
+
+func (c *Client) refusesTopic(topic string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return topic != "" && c.faults.RefuseTopic == topic
+}
+
 func (c *Client) drawFaults() drawnFaults {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -101,7 +116,12 @@
 
 // Append implements spar.Store.
 func (c *Client) Append(ctx context.Context, topic string, p *spar.Producer, records []spar.Record) (int64, error) {
-	return call(ctx, c, true, func() (int64, error) { return c.store.Append(topic, p, records) })
+	return call(ctx, c, true, func() (int64, error) {
+		if c.refusesTopic(topic) {
+			return 0, errors.Mark(errors.Newf("store: partition of %s is down", topic), spar.ErrRefused)
+		}
+		return c.store.Append(topic, p, records)
+	})
 }
 
 // Follow implements spar.Store.
