Owner: a term that ends hands over the departures that it could not store

Cause: the owner knew that the worker had left and could not store it; the next term restored the runs as present and waited for the longest lease that may have been granted, since the agent was gone with its machine. Evidence: 'worker has left' in the silence, 'state taken over' after it, 'leases ended' 11.25 s later.

Change: that a life is over stays true in any term. A term that ends writes the departures that no stored commit contains to the topic of the submissions; the owner, which follows that topic, ends these lives and drops the records.

Also: a field that nothing used, found by the linter.

--- a/entry/owner/expiry.go
+++ b/entry/owner/expiry.go
@@ -15,25 +15,26 @@
 	maxExpiredJobs = 500
 )
 
-// dropExpiredJobs drops the submissions of the jobs whose retention is over, and then has
-// them forgotten. It works beside the loop, so that a partition that is down does not hold
-// up commits.
-func (t *term) dropExpiredJobs(ctx context.Context) <-chan error {
+// dropExpired drops the submissions of the jobs whose retention is over, and then has them
+// forgotten. It also drops departures that were handled. It works beside the loop, so that
+// a partition that is down does not hold up commits.
+func (t *term) dropExpired(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
 			track.Pause(ctx, expiryInterval)
 			t.stateMu.Lock()
-			ids := t.scheduler.ExpiredJobs(maxExpiredJobs, time.Now())
+			ids, keys := t.scheduler.ExpiredJobs(maxExpiredJobs, time.Now()), t.handledDepartures
 			t.stateMu.Unlock()
-			if len(ids) == 0 || !t.isValid() {
+			if len(ids)+len(keys) == 0 || !t.isValid() {
 				continue
 			}
-			if err := t.dropSubmissions(ctx, ids); err != nil {
+			if err := t.dropSubmissions(ctx, ids, keys); err != nil {
 				continue
 			}
 			t.stateMu.Lock()
 			t.scheduler.ForgetJobs(ids)
+			t.handledDepartures = t.handledDepartures[len(keys):]
 			t.stateMu.Unlock()
 			t.wakeLoop()
 		}
@@ -42,12 +43,15 @@
 	return done
 }
 
-// dropSubmissions drops the submissions and the cancels of jobs, and repeats that until it
-// is answered or the context ends.
-func (t *term) dropSubmissions(ctx context.Context, ids []string) error {
+// dropSubmissions drops the submissions and the cancels of jobs and further records of the
+// jobs topic. It repeats that until it is answered or the context ends.
+func (t *term) dropSubmissions(ctx context.Context, ids, keys []string) error {
 	var records []spar.Record
 	for _, id := range ids {
 		records = append(records, spar.Record{Key: JobPrefix + id}, spar.Record{Key: CancelPrefix + id})
 	}
+	for _, k := range keys {
+		records = append(records, spar.Record{Key: k})
+	}
 	return t.retryStoreCall(ctx, 0, func() error { return t.write(ctx, JobsTopic, nil, records) })
 }
--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -67,6 +67,7 @@
 	if storeIdle {
 		if c := t.scheduler.PrepareCommit(); !c.Empty() {
 			next = c
+			t.departures.prepared()
 		}
 	}
 	t.stateMu.Unlock()
@@ -105,6 +106,7 @@
 // sendCommitted sends the messages that had to wait for a commit to be stored.
 func (t *term) sendCommitted(c *shard.Commit) {
 	t.stateMu.Lock()
+	t.departures.stored()
 	messages := t.scheduler.FinishCommit(c, t.isValid())
 	t.stateMu.Unlock()
 	t.send(messages)
--- a/entry/owner/session.go
+++ b/entry/owner/session.go
@@ -137,7 +137,9 @@
 	}
 	t.scheduler.HandleReport(s.node, s.token, m, now)
 	if m.WorkerLeft {
-		t.scheduler.RemoveWorker(s.node, s.token)
+		if life, ok := t.scheduler.RemoveWorker(s.node, s.token); ok {
+			t.departures.add(life)
+		}
 	}
 	var reply *link.OwnerMessage
 	if m.Heartbeat > 0 && t.mayGrant() && t.scheduler.GrantLease(s.node, s.token, now) {
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -14,10 +14,12 @@
 )
 
 // Prefixes of the keys of the jobs topic. A cancel has a key of its own, so that
-// a submission that is stored late does not overwrite it.
+// a submission that is stored late does not overwrite it. A departure is written by an
+// owner whose term ended before it could store that a worker has left.
 const (
-	JobPrefix    = "j/"
-	CancelPrefix = "c/"
+	JobPrefix       = "j/"
+	CancelPrefix    = "c/"
+	departurePrefix = "l/"
 )
 
 const (
@@ -58,12 +60,16 @@
 	ended    chan struct{}
 
 	scheduler *shard.Scheduler
-	// stateMu guards scheduler, sessions and sessionCount.
+	// stateMu guards scheduler, sessions, sessionCount and departures.
 	stateMu sync.Mutex
 	// appendSeq is the sequence number of the last append to the progress topic.
 	appendSeq    int64
 	sessions     map[string]*session
 	sessionCount int64
+	// departures are the workers that have left in this term, and handledDepartures
+	// the keys of earlier ones that are to be dropped.
+	departures        departures
+	handledDepartures []string
 }
 
 func newTerm(c *Candidate, epoch int64, until time.Duration) *term {
@@ -123,16 +129,17 @@
 func (t *term) run(ctx context.Context) {
 	defer close(t.ended)
 	defer t.closeConnections()
+	defer t.handOverDepartures()
 	if !t.takeOver(ctx) {
 		return
 	}
-	following, dropping := t.jobs.Run(ctx), t.dropExpiredJobs(ctx)
+	following, dropping := t.jobs.Run(ctx), t.dropExpired(ctx)
 	t.loop(ctx)
 	if err := <-following; err != nil {
 		t.Warn("following the jobs topic failed", "err", err)
 	}
 	if err := <-dropping; err != nil {
-		t.Warn("dropping expired jobs failed", "err", err)
+		t.Warn("dropping expired records failed", "err", err)
 	}
 }
 
@@ -165,6 +172,7 @@
 		t.Warn("could not restore stored progress", "err", err)
 	}
 	t.applyCancels(jobs.Records, now)
+	t.applyDepartures(jobs.Records)
 	t.stateMu.Unlock()
 	self := t.self
 	self.Epoch = t.epoch
@@ -183,6 +191,7 @@
 	t.stateMu.Lock()
 	t.applySubmissions(records, now)
 	t.applyCancels(records, now)
+	t.applyDepartures(records)
 	t.stateMu.Unlock()
 	t.wakeLoop()
 }
--- a/shard/job.go
+++ b/shard/job.go
@@ -30,10 +30,8 @@
 	occurrences []*occurrence
 	// started reports whether any task of the job has started.
 	started bool
-	// failure says why the job has failed. crashesStored reports whether a record
-	// with it or with crashes of the tasks is stored.
-	failure       string
-	crashesStored bool
+	// failure says why the job has failed.
+	failure string
 	// endedAt is when the job reached its final state.
 	endedAt time.Time
 	// firstSeen is when this owner first saw the job.
--- a/shard/session.go
+++ b/shard/session.go
@@ -61,10 +61,26 @@
 
 // RemoveWorker ends the life of a worker that has announced its departure and
 // no longer answers.
-func (sc *Scheduler) RemoveWorker(node string, token int64) {
-	if w := sc.workerInSession(node, token); w != nil {
-		sc.onEvent(Event{Name: "worker has left", Node: node})
-		sc.endLife(w, "worker has left")
+// It returns the life that is over, and false if the session is.
+func (sc *Scheduler) RemoveWorker(node string, token int64) (spar.Life, bool) {
+	w := sc.workerInSession(node, token)
+	if w == nil {
+		return spar.Life{}, false
+	}
+	sc.onEvent(Event{Name: "worker has left", Node: node})
+	sc.endLife(w, "worker has left")
+	return w.info.Life, true
+}
+
+// EndLife ends a life of a worker that is known to be over, if the worker is still taken
+// for running.
+func (sc *Scheduler) EndLife(l spar.Life) {
+	for _, w := range sc.workers {
+		if w.info.Life == l {
+			sc.onEvent(Event{Name: "worker has left", Node: w.node, Reason: "reported in an earlier term"})
+			sc.endLife(w, "worker has left")
+			return
+		}
 	}
 }
 
--- a/shard/storage.go
+++ b/shard/storage.go
@@ -47,7 +47,7 @@
 	changedParts, checkpointParts map[int]bool
 	// pieces holds the number of stored records by part. crashParts are the parts
 	// with a record of crashes, and crashesStored reports whether there is one for
-	// the whole job.
+	// the whole job, which also holds the reason of its failure.
 	pieces        map[int]int
 	crashParts    map[int]bool
 	crashesStored bool
