Shard: the wait of a job counts from its acceptance in every term

Cause, by reading: a fill that would disturb serving tasks starts anyway 5 s past its objective, counted from when the owner first saw the job, so each owner began anew.

Change: a job that is found at a takeover waits since it was accepted, by the time of day and for a minute at most, since the clocks of entries may differ.

--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -167,7 +167,7 @@
 	now := time.Now()
 	t.stateMu.Lock()
 	t.applyConfig()
-	t.applySubmissions(jobs.Records, now)
+	t.applySubmissions(jobs.Records, func(j spar.Job) { t.scheduler.SubmitEarlier(j, now, now) })
 	for _, err := range t.scheduler.Restore(state.Records, now, now.Add(t.settings.maxEarlierLease())) {
 		t.Warn("could not restore stored progress", "err", err)
 	}
@@ -189,14 +189,15 @@
 func (t *term) applyJobRecords(records []spar.Record) {
 	now := time.Now()
 	t.stateMu.Lock()
-	t.applySubmissions(records, now)
+	t.applySubmissions(records, func(j spar.Job) { t.scheduler.Submit(j, now) })
 	t.applyCancels(records, now)
 	t.applyDepartures(records)
 	t.stateMu.Unlock()
 	t.wakeLoop()
 }
 
-func (t *term) applySubmissions(records []spar.Record, now time.Time) {
+// applySubmissions passes the jobs among the records to submit.
+func (t *term) applySubmissions(records []spar.Record, submit func(spar.Job)) {
 	for _, r := range records {
 		if !strings.HasPrefix(r.Key, JobPrefix) || len(r.Value) == 0 {
 			continue
@@ -206,7 +207,7 @@
 			t.Warn("could not decode a submission", "key", r.Key, "err", err)
 			continue
 		}
-		t.scheduler.Submit(j, now)
+		submit(j)
 	}
 }
 
--- a/shard/harness_test.go
+++ b/shard/harness_test.go
@@ -127,7 +127,7 @@
 		if err != nil {
 			h.Fatal(err)
 		}
-		h.scheduler.Submit(j, h.now)
+		h.scheduler.SubmitEarlier(j, h.now, h.now)
 	}
 	if errs := h.scheduler.Restore(h.stateRecords(), h.now, h.now.Add(wait)); len(errs) > 0 {
 		h.Fatal(errs)
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -138,6 +138,18 @@
 	}
 }
 
+// maxArrivalAge bounds the age of a job that SubmitEarlier believes: the time of day of
+// two entries may differ.
+const maxArrivalAge = time.Minute
+
+// SubmitEarlier adds a job that was accepted before this owner's term. Its wait counts
+// from then: a job that each owner lets wait anew may never start if owners change often.
+// wall is the time of day.
+func (sc *Scheduler) SubmitEarlier(s spar.Job, now, wall time.Time) {
+	age := min(max(wall.Sub(s.Accepted), 0), maxArrivalAge)
+	sc.Submit(s, now.Add(-age))
+}
+
 // Cancel ends a job and stops its runs. A cancel of an unknown job is kept for
 // the time when the job arrives.
 func (sc *Scheduler) Cancel(id string, now time.Time) {
--- a/shard/takeover_test.go
+++ b/shard/takeover_test.go
@@ -199,3 +199,29 @@
 		t.Errorf("the run resumes from checkpoint %q, want one of c3 to c5", again.Checkpoint)
 	}
 }
+
+// A fill waits for a worker on which it disturbs nothing, and starts in spite of that
+// some time past its objective. Owners change more often than that. The fill must not
+// wait anew with each of them, or it never starts.
+func TestLateFillStartsThoughOwnersChangeOften(t *testing.T) {
+	h, s := newServingHarness(t)
+	f := h.submitAndStart("f", "plans", fillStep("audit", 1))
+	h.reportDisturbance("n1", s, f)
+	h.runCycle()
+	h.report("n1", ended(1, f, spar.EndStopped))
+	row := spar.Running{Task: s.Task, Run: s.Run, Percent: 100, Measurement: 17}
+	for change := range 5 {
+		h.runCycle()
+		h.replaceOwner(time.Minute)
+		h.connect("n1", row)
+		for range 10 {
+			h.advance(500 * time.Millisecond)
+			h.reportTails("n1", s, 17)
+			if len(starts(h.runCycle())) > 0 {
+				t.Logf("starts under owner %d", change+2)
+				return
+			}
+		}
+	}
+	t.Fatal("the fill does not start within 25 s under five owners")
+}
