--- a/agent/exec/orders_test.go
+++ b/agent/exec/orders_test.go
@@ -166,7 +166,7 @@
 				w := newHangingWorker()
 				s, b := newRoomSession(w, spar.Size{})
 				begun := time.Now()
-				s.Executor.clock = func() time.Duration { return time.Since(begun) }
+				s.clock = func() time.Duration { return time.Since(begun) }
 				ctx, cancel := context.WithCancel(t.Context())
 				s.handleMessage(ctx, startMessage("a"))
 				time.Sleep(300 * time.Millisecond)
@@ -193,7 +193,7 @@
 		w := newHangingWorker()
 		s, _ := newRoomSession(w, spar.Size{})
 		var now atomic.Int64
-		s.Executor.clock = func() time.Duration { return time.Duration(now.Load()) }
+		s.clock = func() time.Duration { return time.Duration(now.Load()) }
 		for range maxStartCalls {
 			s.startCalls <- struct{}{}
 		}
