--- a/shard/crash_record.go
+++ b/shard/crash_record.go
@@ -40,29 +40,30 @@
 // tasks, with an empty value if there are none any more. It returns false if nothing
 // has to be written.
 func (j *job) crashRecord() (spar.Record, bool) {
-	var tasks []*task
+	c := crashRecord{Failure: j.failure}
 	if !j.hasEnded() {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				tasks = append(tasks, s.tasks...)
+				c.addTasks(s.tasks)
 			}
 		}
 	}
-	value := encodeCrashes(j.failure, tasks)
+	value := c.encode()
 	return spar.Record{Key: crashPrefix + j.ID, Value: value}, len(value) > 0 || j.crashesStored
 }
 
-// encodeCrashes returns the stored form of a job's failure and of the crashes of
-// tasks, or nil if there are none.
-func encodeCrashes(failure string, tasks []*task) []byte {
-	c := crashRecord{Failure: failure}
-	for _, t := range tasks {
-		c.addTask(t)
-	}
+// encode returns the stored form, or nil if the record is empty.
+func (c *crashRecord) encode() []byte {
 	if c.Failure == "" && len(c.Tasks) == 0 {
 		return nil
 	}
-	return marshal(&c)
+	return marshal(c)
+}
+
+func (c *crashRecord) addTasks(tasks []*task) {
+	for _, t := range tasks {
+		c.addTask(t)
+	}
 }
 
 func (c *crashRecord) addTask(t *task) {
--- /dev/null
+++ b/shard/expiry.go
@@ -0,0 +1,51 @@
+package shard
+
+import (
+	"slices"
+	"time"
+)
+
+// ExpiredJobs returns ended jobs whose retention is over, at most limit. Their submissions
+// are to be dropped, and after that the jobs forgotten: an owner that finds the submission
+// of a job without its progress starts the job.
+func (sc *Scheduler) ExpiredJobs(limit int, now time.Time) []string {
+	var out []string
+	for _, j := range sc.retiredJobs {
+		if len(out) == limit || now.Sub(j.endedAt) <= sc.limits.Retention || sc.hasRuns(j) {
+			break
+		}
+		out = append(out, j.ID)
+	}
+	return out
+}
+
+// ForgetJobs forgets jobs whose submissions were dropped, and has the next commit drop
+// their other records.
+func (sc *Scheduler) ForgetJobs(ids []string) {
+	for _, id := range ids {
+		j := sc.jobs[id]
+		if j == nil {
+			continue
+		}
+		delete(sc.jobs, id)
+		delete(sc.changedJobs, j)
+		sc.droppedKeys = append(sc.droppedKeys, id)
+		if j.crashesStored {
+			sc.droppedKeys = append(sc.droppedKeys, crashPrefix+id)
+		}
+	}
+	sc.retiredJobs = slices.DeleteFunc(sc.retiredJobs, func(j *job) bool { return sc.jobs[j.ID] != j })
+}
+
+func (sc *Scheduler) hasRuns(j *job) bool {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if len(t.runs) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/shard/parts.go
@@ -0,0 +1,142 @@
+package shard
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/berylspar/spar"
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// partPrefix begins the keys of the records with a part of a job's tasks.
+	partPrefix = "#tasks/"
+	// partTasks is the number of tasks in a part. A change of one task writes the
+	// whole part, and a takeover reads all parts.
+	partTasks = 32
+)
+
+// part returns the number of the part that a task is stored in.
+func (t *task) part() int {
+	j := t.step.job
+	return (t.step.occurrence.number*j.occurrenceTasks() + j.stepOffsets[t.step.index] + t.index) / partTasks
+}
+
+// partCount is the number of parts of the job's occurrences so far.
+func (j *job) partCount() int {
+	return (len(j.occurrences)*j.occurrenceTasks() + partTasks - 1) / partTasks
+}
+
+// tasksOfPart returns the tasks of a part.
+func (j *job) tasksOfPart(part int) []*task {
+	var out []*task
+	perOccurrence := j.occurrenceTasks()
+	for n := part * partTasks; n < (part+1)*partTasks && n/perOccurrence < len(j.occurrences); n++ {
+		offset := n % perOccurrence
+		step, found := slices.BinarySearch(j.stepOffsets, offset)
+		if !found {
+			step--
+		}
+		out = append(out, j.occurrences[n/perOccurrence].steps[step].tasks[offset-j.stepOffsets[step]])
+	}
+	return out
+}
+
+// dropParts returns records that drop all parts of a job.
+func (j *job) dropParts() []spar.Record {
+	var out []spar.Record
+	for _, p := range slices.Sorted(maps.Keys(j.pieces)) {
+		for i := range j.pieces[p] {
+			out = append(out, spar.Record{Key: partKey(j.ID, p, i)})
+		}
+	}
+	for _, p := range slices.Sorted(maps.Keys(j.crashParts)) {
+		out = append(out, spar.Record{Key: crashPartKey(j.ID, p)})
+	}
+	clear(j.pieces)
+	clear(j.crashParts)
+	return out
+}
+
+// addPart adds the records of a part.
+func (j *job) addPart(out *jobRecords, part, limit int) {
+	tasks := j.tasksOfPart(part)
+	values := encodePieces(tasks, limit)
+	for i, v := range values {
+		out.parts = append(out.parts, spar.Record{Key: partKey(j.ID, part, i), Value: v})
+	}
+	for i := len(values); i < j.pieces[part]; i++ {
+		out.drops = append(out.drops, spar.Record{Key: partKey(j.ID, part, i)})
+	}
+	j.pieces[part] = len(values)
+	var crashes crashRecord
+	crashes.addTasks(tasks)
+	value := crashes.encode()
+	switch {
+	case len(value) > 0:
+		j.crashParts[part] = true
+		out.parts = append(out.parts, spar.Record{Key: crashPartKey(j.ID, part), Value: value})
+	case j.crashParts[part]:
+		delete(j.crashParts, part)
+		out.drops = append(out.drops, spar.Record{Key: crashPartKey(j.ID, part)})
+	}
+}
+
+// encodePieces returns the stored form of tasks in as few values as their size
+// allows. The checkpoint of a task that exceeds the limit alone is left out.
+func encodePieces(tasks []*task, limit int) [][]byte {
+	progress := encodeTasks(tasks, true)
+	if len(progress) == 0 {
+		return nil
+	}
+	value := marshal(progress)
+	switch {
+	case len(value) <= limit:
+		return [][]byte{value}
+	case len(tasks) == 1:
+		return [][]byte{marshal(encodeTasks(tasks, false))}
+	}
+	half := len(tasks) / 2
+	return append(encodePieces(tasks[:half], limit), encodePieces(tasks[half:], limit)...)
+}
+
+func marshal(v any) []byte {
+	out, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode progress"))
+	}
+	return out
+}
+
+// partKey is the key of a piece of a part.
+func partKey(job string, part, piece int) string {
+	if piece == 0 {
+		return fmt.Sprintf("%s%s/%d", partPrefix, job, part)
+	}
+	return fmt.Sprintf("%s%s/%d.%d", partPrefix, job, part, piece)
+}
+
+func crashPartKey(job string, part int) string {
+	return fmt.Sprintf("%s%s/%d", crashPrefix, job, part)
+}
+
+// parsePart parses the end of a key that names a part. The job's ID is empty if the
+// key does not name one.
+func parsePart(rest string) (job string, part, piece int, err error) {
+	job, number, ok := strings.Cut(rest, "/")
+	if !ok {
+		return "", 0, 0, errors.Newf("key %q names no part", rest)
+	}
+	number, pieceNumber, several := strings.Cut(number, ".")
+	if part, err = strconv.Atoi(number); err == nil && several {
+		piece, err = strconv.Atoi(pieceNumber)
+	}
+	if err != nil || part < 0 || piece < 0 || part >= spar.MaxTasks || piece >= partTasks {
+		return "", 0, 0, errors.Newf("key %q names no part of a job", rest)
+	}
+	return job, part, piece, nil
+}
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -1,9 +1,8 @@
 package shard
 
-// progress is the stored form of a job's state, and of the progress of its tasks if it
-// is stored as a whole. It and the types below are
-// encoded as arrays, whose fields must stay as they are: a record with more or fewer
-// cannot be read by another build.
+// progress is the stored form of a job's state, and of the progress of its tasks unless
+// that is stored in parts. It and the types below are encoded as arrays, whose fields
+// must stay as they are: a record with more or fewer cannot be read by another build.
 type progress struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	State    State
--- a/shard/report.go
+++ b/shard/report.go
@@ -53,7 +53,7 @@
 	r.measured = row.Measurement
 	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint = row.Checkpoint
-		sc.markCheckpointChanged(r.task)
+		r.task.markCheckpointChanged()
 	}
 	sc.storeDueCheckpoints(r.task.step.job, now)
 }
