Owner: no job is denied while the submissions cannot be read

Change: an owner whose last read failed answers that it does not know. A connection that hangs without an error still leaves 1.5 s.

Also: a job of which a run is found while it is being forgotten is kept until the run has ended ('a job of which a run is found after its retention...', fails without it).

--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -102,8 +102,8 @@
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
 	s, ok := t.scheduler.JobState(id)
-	if !ok && time.Since(t.jobs.FreshAt()) > maxSubmissionsAge {
-		return reply{}, errors.Wrapf(ErrUnreachable, "job %s is not known, and submissions were last read %s ago", id, time.Since(t.jobs.FreshAt()))
+	if age := time.Since(t.jobs.FreshAt()); !ok && (age > maxSubmissionsAge || t.jobs.IsFailing()) {
+		return reply{}, errors.Wrapf(ErrUnreachable, "job %s is not known, and submissions were last read %s ago (last read failed: %v)", id, age, t.jobs.IsFailing())
 	}
 	return reply{State: s, Known: ok, Failure: t.scheduler.JobFailure(id)}, nil
 }
--- a/shard/expiry.go
+++ b/shard/expiry.go
@@ -20,11 +20,12 @@
 }
 
 // ForgetJobs forgets jobs whose submissions were dropped, and has the next commit drop
-// their other records.
+// their other records. A job of which a run was found meanwhile is kept until that has
+// ended, and expires again.
 func (sc *Scheduler) ForgetJobs(ids []string) {
 	for _, id := range ids {
 		j := sc.jobs[id]
-		if j == nil {
+		if j == nil || sc.hasRuns(j) {
 			continue
 		}
 		delete(sc.jobs, id)
--- a/shard/parts.go
+++ b/shard/parts.go
@@ -124,8 +124,7 @@
 	return fmt.Sprintf("%s%s/%d", crashPrefix, job, part)
 }
 
-// parsePart parses the end of a key that names a part. The job's ID is empty if the
-// key does not name one.
+// parsePart parses the end of a key that names a piece of a part.
 func parsePart(rest string) (job string, part, piece int, err error) {
 	job, number, ok := strings.Cut(rest, "/")
 	if !ok {
--- a/shard/scheduler_test.go
+++ b/shard/scheduler_test.go
@@ -255,6 +255,25 @@
 			h.Fatal("dropped job is still known")
 		}
 	}},
+	{"a job of which a run is found after its retention is kept until that has ended", func(h *harness) {
+		h.connect("n1")
+		o := h.submitAndStart("j1", "checks", shortStep(1))
+		h.report("n1", ended(1, o, spar.EndDone))
+		h.runCycle()
+		h.advance(limits.Retention + time.Second)
+		expired := h.scheduler.ExpiredJobs(10, h.now)
+		h.connect("n1", spar.Running{Task: o.Task, Run: o.Run + 1})
+		h.scheduler.ForgetJobs(expired)
+		if s := stops(h.runCycle()); len(s) != 1 {
+			h.Fatalf("stops %+v, want that of the run", s)
+		}
+		h.expectState("j1", shard.Completed)
+		h.report("n1", &link.AgentMessage{Ended: []spar.Ended{{Number: 2, Task: o.Task, Run: o.Run + 1, Ending: spar.EndStopped}}})
+		h.scheduler.ForgetJobs(h.scheduler.ExpiredJobs(10, h.now))
+		if _, ok := h.scheduler.JobState("j1"); ok {
+			h.Fatal("the job is still known")
+		}
+	}},
 	{"an end reported after the run was removed as lost still counts", func(h *harness) {
 		h.connect("n1")
 		o := h.submitAndStart("j1", "checks", shortStep(1))
--- a/track/follower.go
+++ b/track/follower.go
@@ -32,6 +32,7 @@
 
 	// freshNS is FreshAt in nanoseconds since startTime, 0 before the first read.
 	freshNS atomic.Int64
+	failing atomic.Bool
 }
 
 // FreshAt returns the time up to which every written record has been read; zero
@@ -43,6 +44,10 @@
 	return time.Time{}
 }
 
+// IsFailing reports whether the last read failed, so that records may be missing that were
+// written after FreshAt.
+func (f *Follower) IsFailing() bool { return f.failing.Load() }
+
 // startTime is the origin of freshNS. It has a monotonic reading, and so have the
 // times that FreshAt computes from it.
 var startTime = time.Now()
@@ -56,6 +61,7 @@
 		for ctx.Err() == nil {
 			sent := time.Now()
 			b, err := f.read(ctx, next)
+			f.failing.Store(err != nil && !errors.Is(err, spar.ErrGone))
 			if err == nil {
 				next = b.Next
 				if !b.More {
