Owner: the writer of departures ends with its context and is waited for

The writer of departures outlived the context of its candidate by up to 20 s and reported its end to nobody. It now ends with the context, and the candidate reads its end. The simulation also waits for the appends in flight when it ends, so that a failed run shows why it failed.

On a planned stop a departure that is not stored yet is no longer written after the entry has left, as before departures were written at all.

--- a/entry/owner/candidate.go
+++ b/entry/owner/candidate.go
@@ -54,6 +54,10 @@
 	// published reports whether this entry's address is stored for the others.
 	published bool
 
+	// handovers are the ends of the writers of departures; only elect's goroutine uses
+	// it.
+	handovers []<-chan error
+
 	mu   sync.Mutex
 	term *term
 	// lastEpoch is the epoch of the last term.
@@ -74,7 +78,10 @@
 	accepting := c.acceptAgents(ctx)
 	go func() {
 		c.elect(ctx)
-		c.endTerm("stopped")
+		c.endTerm(ctx, "stopped")
+		for _, h := range c.handovers {
+			<-h
+		}
 		leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 		defer cancel()
 		c.removeAddress(leave)
@@ -102,7 +109,7 @@
 				failing = true
 				c.Warn("could not join the owners group", "err", err)
 			}
-			c.endExpiredTerm()
+			c.endExpiredTerm(ctx)
 		default:
 			if failing {
 				failing = false
@@ -124,15 +131,15 @@
 	t := c.currentTerm()
 	switch {
 	case !isOwner && t != nil:
-		c.endTerm("partition assigned to another member")
+		c.endTerm(ctx, "partition assigned to another member")
 	case isOwner && t == nil:
 		c.beginTerm(ctx, membership.Generation, until)
 	case isOwner && t.hasFailed():
-		c.endTerm("fenced")
+		c.endTerm(ctx, "fenced")
 		c.beginTerm(ctx, membership.Generation, until)
 	case isOwner && sent > t.expiresAt() && membership.Generation != t.generation:
 		// Another entry may have owned the shard in between.
-		c.endTerm("lapsed")
+		c.endTerm(ctx, "lapsed")
 		c.beginTerm(ctx, membership.Generation, until)
 	case isOwner:
 		t.generation = membership.Generation
@@ -159,7 +166,7 @@
 	t.start(ctx)
 }
 
-func (c *Candidate) endTerm(reason string) {
+func (c *Candidate) endTerm(ctx context.Context, reason string) {
 	c.mu.Lock()
 	t := c.term
 	c.term = nil
@@ -167,14 +174,16 @@
 	if t != nil {
 		c.Info("term ends", "epoch", t.epoch, "why", reason)
 		t.stop()
+		c.handovers = slices.DeleteFunc(c.handovers, func(h <-chan error) bool { return len(h) > 0 })
+		c.handovers = append(c.handovers, t.handOverDepartures(ctx))
 	}
 }
 
 // endExpiredTerm ends a term that could not be renewed for so long that no more
 // leases may be granted.
-func (c *Candidate) endExpiredTerm() {
+func (c *Candidate) endExpiredTerm(ctx context.Context) {
 	if t := c.currentTerm(); t != nil && c.clock() > t.expiresAt()+c.settings.grace() {
-		c.endTerm("not renewed")
+		c.endTerm(ctx, "not renewed")
 	}
 }
 
--- a/entry/owner/departures.go
+++ b/entry/owner/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -35,25 +36,29 @@
 func (d *departures) stored() { d.inFlight = nil }
 
 // handOverDepartures writes the departures of an ended term that it could not store. The
-// next owner would wait for the leases on workers that do not exist any more. It does not
-// wait for the store.
-func (t *term) handOverDepartures() {
+// next owner would wait for the leases on workers that do not exist any more. The channel
+// receives nil when all are written, the context ends or departureTimeout is over.
+func (t *term) handOverDepartures(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
 	t.stateMu.Lock()
-	t.departures.prepared()
-	lives := t.departures.inFlight
+	lives := slices.Concat(t.departures.inFlight, t.departures.unstored)
 	t.stateMu.Unlock()
-	for _, l := range lives {
-		if len(l.ID) <= maxLifeIDBytes {
-			go t.writeDeparture(l)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+		defer cancel()
+		for _, l := range lives {
+			if len(l.ID) <= maxLifeIDBytes {
+				t.writeDeparture(ctx, l)
+			}
 		}
-	}
+		done <- nil
+	}()
+	return done
 }
 
-// writeDeparture writes one departure. It outlives the term, and ends with
-// departureTimeout.
-func (t *term) writeDeparture(l spar.Life) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), departureTimeout)
-	defer cancel()
+// writeDeparture writes one departure and repeats that until it is answered or the context
+// ends.
+func (t *term) writeDeparture(ctx context.Context, l spar.Life) {
 	value, err := msgpack.Marshal(&l)
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode life %s", l.ID))
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -129,7 +129,6 @@
 func (t *term) run(ctx context.Context) {
 	defer close(t.ended)
 	defer t.closeConnections()
-	defer t.handOverDepartures()
 	if !t.takeOver(ctx) {
 		return
 	}
--- a/prove/simul/random_test.go
+++ b/prove/simul/random_test.go
@@ -30,6 +30,8 @@
 	// may take to end afterwards.
 	faultTime     = 60 * time.Second
 	recoveryLimit = 90 * time.Second
+	// settleTime is longer than any call in flight and the probes of a silent store.
+	settleTime = 15 * time.Second
 )
 
 // Real owners and agents run under random faults. No invariant of the workers may
@@ -111,6 +113,8 @@
 	}
 	cancel()
 	<-workersStopped
+	// Appends in flight end with their own deadlines.
+	time.Sleep(settleTime)
 	synctest.Wait()
 }
 
