Agent: an unanswered start is not stopped for its age

The worker crashed and came back under its name, knowing nothing of the stop, and then carried out the first call.

The limit of age holds for orders of which no call was sent.

--- a/agent/exec/orders.go
+++ b/agent/exec/orders.go
@@ -31,6 +31,7 @@
 
 func (s *session) handleMessage(ctx context.Context, m *link.OwnerMessage) {
 	s.mu.Lock()
+	s.ownerHeardAt = s.clock()
 	if m.Grant > 0 {
 		s.extendLease(m.Grant)
 	}
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -45,6 +45,9 @@
 	paceCalls  slots
 
 	mu sync.Mutex
+	// ownerHeardAt is when the owner's last message was received, on the executor's
+	// clock.
+	ownerHeardAt time.Duration
 	// workerLeaseEnd is the end of the lease in ms on the worker's clock.
 	workerLeaseEnd int64
 	// ungranted holds the heartbeats that the owner has not granted yet, by
@@ -94,7 +97,7 @@
 	return &session{
 		Executor: e, life: life, conn: c, lease: w.Lease,
 		startCalls: make(slots, maxStartCalls), stopCalls: make(slots, maxStopCalls), paceCalls: make(slots, maxPaceCalls),
-		starting: map[runKey]context.CancelFunc{}, stopOrdered: map[runKey]bool{},
+		starting: map[runKey]context.CancelFunc{}, stopOrdered: map[runKey]bool{}, ownerHeardAt: e.clock(),
 		target:    spar.Target{Address: h.Address, Life: h.Info.Life, Token: w.Token},
 		ungranted: map[int64]sentHeartbeat{}, reportedRunning: map[spar.TaskRef]spar.Running{}, stoppedRuns: map[runKey]int64{},
 		ackReceived: make(chan struct{}, 1), outcomeQueued: make(chan struct{}, 1),
--- a/agent/exec/start.go
+++ b/agent/exec/start.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// maxStartAge is the age of an order from which no start call is sent for it any
-	// more. The process may have been suspended meanwhile, or a cancel not have
-	// reached it.
+	// maxStartAge is the age of an order from which no first start call is sent for it,
+	// and the silence of the owner during which no call is repeated. The process may
+	// have been suspended meanwhile, or a cancel not have reached it.
 	maxStartAge = 2 * time.Second
 	// maxRefusedConnections is the number of connections that the worker may
 	// refuse before a start is reported to the owner as failed.
@@ -64,11 +64,16 @@
 	}()
 	received, maybeStarted := s.clock(), false
 	for attempts := 1; s.startCalls.acquire(ctx); attempts++ {
-		if reason := s.rejectStart(o, received); reason != "" {
+		if reason := s.rejectStart(o, received, maybeStarted); reason != "" {
 			s.startCalls.release()
 			s.giveUpStart(ctx, o, reason, maybeStarted)
 			return
 		}
+		if s.ownerSilence() > maxStartAge {
+			s.startCalls.release()
+			track.Pause(ctx, orderRetryDelay)
+			continue
+		}
 		result, err := s.callStart(ctx, o)
 		s.startCalls.release()
 		switch {
@@ -102,15 +107,24 @@
 	s.Info("start ended by a stop or with the session", "task", o.Task, "run", o.Run, "maybe_started", maybeStarted)
 }
 
-// rejectStart returns why no start call may be sent for an order, or "".
-func (s *session) rejectStart(o spar.StartOrder, received time.Duration) spar.StartResult {
+// ownerSilence returns how long the owner has not been heard of.
+func (s *session) ownerSilence() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clock() - s.ownerHeardAt
+}
+
+// rejectStart returns why no start call may be sent for an order, or "". A start that was
+// not answered is repeated whatever its age: its task would go elsewhere after a stop, and
+// a worker that restarts under its name could still carry out the first call.
+func (s *session) rejectStart(o spar.StartOrder, received time.Duration, maybeStarted bool) spar.StartResult {
 	current := s.heartbeats.Load().Info
 	switch {
 	case current.Draining:
 		return spar.StartDraining
 	case !o.Room.Fits(current.Size):
 		return spar.StartNoRoom
-	case s.clock()-received > maxStartAge:
+	case !maybeStarted && s.clock()-received > maxStartAge:
 		return spar.StartLate
 	}
 	return ""
