Shard: events that say why a standing task does not run

An operator saw nothing in the logs while a standing task waited: a task without room has no event, and one whose last run is believed to be on a worker out of touch is not even among the tasks to place.

--- a/shard/harness_test.go
+++ b/shard/harness_test.go
@@ -24,17 +24,21 @@
 	// lives counts the lives that endLife began.
 	ends  map[string]link.LifeEnd
 	lives int64
+	// events are the decisions of all schedulers.
+	events []shard.Event
 }
 
 var limits = shard.Limits{Lease: 5 * time.Second, MaxLease: 6 * time.Second, Retention: time.Minute}
 
 func newHarness(t testing.TB) *harness {
 	h := &harness{TB: t, now: time.Unix(1000, 0), tokens: map[string]int64{}, jobs: map[string][]byte{}, state: map[string][]byte{}, limit: limits, ends: map[string]link.LifeEnd{}, lives: 1}
-	h.scheduler = shard.NewScheduler(limits, func(shard.Event) {})
+	h.scheduler = shard.NewScheduler(limits, h.recordEvent)
 	h.setRules()
 	return h
 }
 
+func (h *harness) recordEvent(e shard.Event) { h.events = append(h.events, e) }
+
 func (h *harness) setRules() {
 	h.scheduler.SetRules(&spar.Rules{Version: 1, Queues: []spar.Queue{
 		{Name: "checks", Service: "desk", Priority: 0, MaxAttempts: 2, Stretch: 1.5, Slack: 250 * time.Millisecond},
@@ -120,7 +124,7 @@
 // replaceOwner replaces the scheduler by a new one restored from the stored
 // records. Restored runs count as present for the given time.
 func (h *harness) replaceOwner(wait time.Duration) {
-	h.scheduler = shard.NewScheduler(limits, func(shard.Event) {})
+	h.scheduler = shard.NewScheduler(limits, h.recordEvent)
 	h.setRules()
 	for _, v := range h.jobs {
 		j, err := shard.DecodeJob(v)
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -20,7 +20,7 @@
 	}
 	slices.SortFunc(queue, compareSteps)
 	pool := sc.candidates(now)
-	sc.pool, sc.poolAt = pool, now
+	sc.pool, sc.poolAt, sc.plannedAt = pool, now, now
 	sc.stepsAwaitingAdvice, sc.shortages = nil, nil
 	sc.clearSurvivors()
 	sc.trials = sc.freeTrialSlots(now)
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -62,14 +62,15 @@
 	// has Plan try all workers regardless; tests compare the results.
 	shortages []shortage
 	scanAll   bool
-	// pool holds the candidates of the last Plan, at poolAt.
-	pool         []*candidate
-	poolAt       time.Time
-	interference interf.Model
+	// pool holds the candidates at poolAt, plannedAt is when Plan last ran.
+	pool              []*candidate
+	poolAt, plannedAt time.Time
+	interference      interf.Model
 	// storedModel is the last stored form of interference, and modelCheckedAt
 	// the last time at which PrepareCommit compared the two.
 	storedModel    []byte
 	modelCheckedAt time.Time
+	waits          waits
 	// now is the time of the latest Tick or HandleReport call.
 	now     time.Time
 	onEvent func(Event)
@@ -268,7 +269,8 @@
 	return n
 }
 
-// Tick removes workers whose leases have expired and adds occurrences that are due.
+// Tick removes workers whose leases have expired, adds occurrences that are due and
+// reports standing tasks that do not run.
 // now is a monotonic time and wall the time of day.
 func (sc *Scheduler) Tick(now, wall time.Time) {
 	sc.now = now
@@ -294,4 +296,5 @@
 			delete(sc.earlyCancels, id)
 		}
 	}
+	sc.reportWaits(now)
 }
