Owner: log when jobs or configuration are too old to start tasks

While the topics of jobs or of the configuration could not be read for 1.8 s, Plan was left out without a word, so that every waiting task waited for a cause that no log named. The owner now warns once when that has lasted for a second, and says when tasks may start again.

--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -51,7 +51,7 @@
 	var requests []shard.AdviceRequest
 	t.stateMu.Lock()
 	t.scheduler.Tick(now, now)
-	if t.isValid() && t.inputsAreFresh(now) {
+	if t.isValid() && t.checkInputs(now) {
 		t.scheduler.Plan(now)
 		if t.adviser != nil {
 			requests = t.scheduler.AdviceRequests(now)
@@ -78,12 +78,6 @@
 	return next
 }
 
-// inputsAreFresh reports whether cancels and closed domains were read recently
-// enough to start tasks.
-func (t *term) inputsAreFresh(now time.Time) bool {
-	return now.Sub(t.jobs.FreshAt()) < maxInputAge && now.Sub(t.config.FreshAt()) < maxInputAge
-}
-
 // storeCommit stores a commit. It reports whether the commit is stored; a job whose
 // progress the store refuses has failed then.
 func (t *term) storeCommit(ctx context.Context, c *shard.Commit) bool {
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -31,9 +31,6 @@
 	// jobsReadWait bounds how long a read of the jobs topic waits, and so how
 	// old the known submissions and cancels can be on an idle topic.
 	jobsReadWait = 800 * time.Millisecond
-	// maxInputAge is the age of the known jobs and configuration above which no
-	// task is started: a cancel or a closed domain may have been missed.
-	maxInputAge = 1800 * time.Millisecond
 	// retryPause is the first pause before a store call is repeated; pauses
 	// double up to maxRetryPause, so that an outage costs few calls.
 	retryPause    = 25 * time.Millisecond
@@ -58,6 +55,8 @@
 	jobs     *track.Follower
 	wake     chan struct{}
 	ended    chan struct{}
+	// stale is used by the loop alone.
+	stale staleness
 
 	scheduler *shard.Scheduler
 	// stateMu guards scheduler, sessions, sessionCount and departures.
