Owner: orders reach only the session that they were made for

Now and then two runs of a task were on two workers, and the later one was the only one that the owner wanted. FinishCommit made start orders for the session under which their runs were claimed, but send looked the session up after it had let go of the lock. An agent that connected again in between got the order in its new session, after it had listed its runs without this one: the owner took the run for lost and placed its task again, and the agent started it all the same.

Messages are now queued under the lock under which they were made. Queueing does not block.

--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -62,7 +62,7 @@
 			s.conn.Close()
 		}
 	}
-	messages := t.scheduler.StopAndPaceMessages()
+	t.send(t.scheduler.StopAndPaceMessages())
 	var next *shard.Commit
 	if storeIdle {
 		if c := t.scheduler.PrepareCommit(); !c.Empty() {
@@ -74,7 +74,6 @@
 	for _, q := range requests {
 		go t.requestAdvice(t.ctx, q)
 	}
-	t.send(messages)
 	return next
 }
 
@@ -100,26 +99,18 @@
 // sendCommitted sends the messages that had to wait for a commit to be stored.
 func (t *term) sendCommitted(c *shard.Commit) {
 	t.stateMu.Lock()
+	defer t.stateMu.Unlock()
 	t.departures.stored()
-	messages := t.scheduler.FinishCommit(c, t.isValid())
-	t.stateMu.Unlock()
-	t.send(messages)
+	t.send(t.scheduler.FinishCommit(c, t.isValid()))
 }
 
-// send queues messages in the sessions of the agents, which are keyed by node.
+// send queues messages in the sessions of the agents, which are keyed by node. The lock
+// of the state is held since the messages were made: an order of an earlier session must
+// not reach the next one, which lists the runs before it carries out orders.
 func (t *term) send(messages map[string]*link.OwnerMessage) {
-	if len(messages) == 0 {
-		return
-	}
-	t.stateMu.Lock()
-	out := make(map[*session]*link.OwnerMessage, len(messages))
 	for node, m := range messages {
 		if s := t.sessions[node]; s != nil {
-			out[s] = m
+			s.enqueue(m)
 		}
 	}
-	t.stateMu.Unlock()
-	for s, m := range out {
-		s.enqueue(m)
-	}
 }
