Simulation: standing tasks of a worker that left before its owner was killed

Cause: the owner logs "worker has left" and "run lost" and cannot store them; "departure of a worker handed over" fails with its context. The next term logs "state taken over" 0.4 s after the store is back, restores the runs as present and logs "leases ended" 11.3 s later; only then the tasks are claimed.

--- a/prove/simul/jobs_test.go
+++ b/prove/simul/jobs_test.go
@@ -20,6 +20,9 @@
 // crashDelay is the time from the start of a crashing task to the crash.
 const crashDelay = 10 * time.Millisecond
 
+// standingTime is the duration of a run of a standing task, longer than any test.
+const standingTime = time.Hour
+
 // drawWorkload draws the duration and the ending of a run.
 func (s *simulation) drawWorkload(t spar.TaskRef, _ int64) (time.Duration, spar.Ending) {
 	s.mu.Lock()
@@ -27,6 +30,9 @@
 	if j := s.jobs[t.Job]; j.crashing != nil && j.crashing(t) {
 		return crashDelay, worker.EndCrash
 	}
+	if s.jobs[t.Job].Steps[t.Step].Standing {
+		return standingTime, spar.EndDone
+	}
 	if s.fixedWorkload {
 		return 500 * time.Millisecond, spar.EndDone
 	}
--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,6 +82,8 @@
 	cancel       context.CancelFunc
 	end          <-chan error
 	seq          int64
+	// draining reports that the worker announces its departure.
+	draining atomic.Bool
 }
 
 const (
@@ -218,5 +221,5 @@
 		return
 	}
 	n.seq++
-	n.beats.Accept(exec.Heartbeat{Seq: n.seq, Address: n.name, Info: spar.WorkerInfo{Life: life, Service: "desk", Domain: n.domain, Size: n.worker.Size()}})
+	n.beats.Accept(exec.Heartbeat{Seq: n.seq, Address: n.name, Info: spar.WorkerInfo{Life: life, Service: "desk", Domain: n.domain, Size: n.worker.Size(), Draining: n.draining.Load()}})
 }
