Shard: an end that is reported again does not touch the next runs

Callers saw nothing yet; a test of departures found it. An agent whose session breaks reports the ends without an acknowledgement again. If the task has a later run by then, its checkpoint was replaced by the one of the earlier run, and a gang that had started again was stopped.

The checkpoint and the stop of the gang now apply only to the end of a run that is known on the worker, or that is the last of its task (one that was removed as lost).

--- a/shard/run_end.go
+++ b/shard/run_end.go
@@ -31,7 +31,9 @@
 	if t.done {
 		return
 	}
-	if e.Checkpoint != "" {
+	// A later run may have a later checkpoint, and its gang goes on.
+	superseded := r == nil && e.Run < t.lastRun
+	if e.Checkpoint != "" && !superseded {
 		t.checkpoint = e.Checkpoint
 	}
 	switch e.Ending {
@@ -44,7 +46,7 @@
 			t.notBefore = now
 		}
 	}
-	if t.step.Gang && e.Ending != spar.EndDone {
+	if t.step.Gang && e.Ending != spar.EndDone && !superseded {
 		sc.stopGang(t.step)
 	}
 }
