Shard: a departure ends a life that the store may not know to be over

A departure is what the agent of a worker that leaves can tell any entry: ends of its runs that no owner has acknowledged, and that its life is over. link.Departure carries it, alone on a connection of its own: AgentMessage.Departure, answered by OwnerMessage.DepartureKept. Nobody sends one yet.

Why no task runs twice: an end that a worker has listed is final in that life, whoever is told of it, and the run that it names is removed only from the worker of exactly that life. That a life is over is what agents vouch for today with WorkerLeft, under the same condition.

--- a/link/messages.go
+++ b/link/messages.go
@@ -35,6 +35,9 @@
 	// Ended holds the ends of runs that this connection has not carried before.
 	Ended    []spar.Ended   `msgpack:"e,omitempty"`
 	Outcomes []StartOutcome `msgpack:"o,omitempty"`
+	// Departure is set alone, in each message of a connection that carries nothing
+	// else. Such a connection may go to any entry, and opens no session.
+	Departure *Departure `msgpack:"x,omitempty"`
 }
 
 // LifeEnd reports that a life of the worker is over although the worker had not
@@ -89,6 +92,9 @@
 	Starts []spar.StartOrder `msgpack:"s,omitempty"`
 	Stops  []Stop            `msgpack:"x,omitempty"`
 	Paces  []Pace            `msgpack:"p,omitempty"`
+	// DepartureKept is set alone and answers a departure: the entry keeps it for the
+	// terms that it may have, and has applied it if it owns the shard.
+	DepartureKept bool `msgpack:"k,omitempty"`
 }
 
 // Welcome opens a session.
--- a/link/split_test.go
+++ b/link/split_test.go
@@ -61,6 +61,31 @@
 	}
 }
 
+// A worker with many runs leaves, and each has a checkpoint. Every part of the departure
+// must name the life, and only the last may end it: its ends would be lost otherwise.
+func TestDepartureWithManyEndsFitsIntoFrames(t *testing.T) {
+	d := link.Departure{Node: "n", Life: spar.Life{ID: "i", Born: 3}, Ended: fullAgentMessage().Ended, Left: true}
+	ended := 0
+	pieces := d.Split()
+	for i, p := range pieces {
+		if body, err := msgpack.Marshal(&link.AgentMessage{Departure: p}); err != nil || len(body) > frameBytes {
+			t.Fatalf("piece %d has %d bytes, %v", i, len(body), err)
+		}
+		if last := i == len(pieces)-1; p.Node != "n" || p.Life != d.Life || p.Left != last {
+			t.Errorf("piece %d of %d: node %q, life %v, left %v", i, len(pieces), p.Node, p.Life, p.Left)
+		}
+		for _, e := range p.Ended {
+			if e.Task.Index != ended {
+				t.Fatalf("end %d comes in place of %d", e.Task.Index, ended)
+			}
+			ended++
+		}
+	}
+	if ended != len(d.Ended) || len(pieces) < 2 {
+		t.Errorf("%d ends in %d pieces, want %d", ended, len(pieces), len(d.Ended))
+	}
+}
+
 func TestOrdersOfManyRunsFitIntoFrames(t *testing.T) {
 	m := &link.OwnerMessage{Grant: 3, Acked: 9}
 	spec := strings.Repeat("s", 4000)
--- a/shard/run_end.go
+++ b/shard/run_end.go
@@ -12,6 +12,11 @@
 // reported again, and also for a run that was already removed as lost.
 func (sc *Scheduler) handleRunEnd(w *worker, e spar.Ended, now time.Time) {
 	sc.pendingAcks[w] = max(sc.pendingAcks[w], e.Number)
+	sc.applyRunEnd(w, e, now)
+}
+
+// applyRunEnd applies the end of a run to its task.
+func (sc *Scheduler) applyRunEnd(w *worker, e spar.Ended, now time.Time) {
 	j := sc.jobs[e.Task.Job]
 	if j == nil {
 		return
--- a/track/directory.go
+++ b/track/directory.go
@@ -1,7 +1,6 @@
 package track
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -19,8 +18,8 @@
 	changed chan struct{}
 
 	mu sync.Mutex
-	// entries holds the peer addresses of the entries by record key.
-	entries map[string]string
+	// entries holds the addresses of the entries by record key.
+	entries map[string]link.EntryRecord
 }
 
 // NewDirectory returns a directory whose reads wait up to wait for a new record.
@@ -40,9 +39,27 @@
 // PeerAddresses returns the addresses at which entries call each other. Some of
 // the entries may be gone.
 func (d *Directory) PeerAddresses() []string {
+	return d.addresses(func(r link.EntryRecord) string { return r.PeerAddress })
+}
+
+// AgentAddresses returns the addresses at which agents reach the entries. Some of the
+// entries may be gone.
+func (d *Directory) AgentAddresses() []string {
+	return d.addresses(func(r link.EntryRecord) string { return r.AgentAddress })
+}
+
+// addresses returns the distinct addresses of one kind in their order.
+func (d *Directory) addresses(of func(link.EntryRecord) string) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.Sorted(maps.Values(d.entries))
+	var out []string
+	for _, r := range d.entries {
+		if a := of(r); a != "" {
+			out = append(out, a)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 func (d *Directory) applyEntry(r spar.Record) {
@@ -58,9 +75,9 @@
 		return
 	}
 	if d.entries == nil {
-		d.entries = map[string]string{}
+		d.entries = map[string]link.EntryRecord{}
 	}
-	d.entries[r.Key] = rec.PeerAddress
+	d.entries[r.Key] = rec
 }
 
 func (d *Directory) apply(records []spar.Record) {
