Owner: every entry takes departures, and its next term applies them

An entry without a term that is ready closed the connections of agents at once. It now reads the first message. A term applies those that are kept right after it has restored the stored state, and one that arrives later at once. What it ends this way is also handed over if the term can not store it, as the departures of sessions are. The first message of an agent goes to the term that is ready, or the connection is closed as before. Invalid messages end their connection with a log line.

Rolling upgrade: an agent of the earlier build sends no departures and opens sessions as before. An entry of the earlier build closes a connection with a departure, with the line "no valid first message" if it owns the shard.

--- a/entry/owner/candidate.go
+++ b/entry/owner/candidate.go
@@ -14,7 +14,6 @@
 	"github.com/berylspar/spar/hedge"
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/track"
-	"github.com/cockroachdb/errors"
 )
 
 // The topics of the shard, the consumer group whose members may own it, and the
@@ -57,6 +56,8 @@
 	// handovers are the ends of the writers of departures; only elect's goroutine uses
 	// it.
 	handovers []<-chan error
+	// kept are the departures that agents have reported to this entry.
+	kept keptDepartures
 
 	mu   sync.Mutex
 	term *term
@@ -200,35 +201,3 @@
 func (s Settings) maxEarlierLease() time.Duration {
 	return s.ttl() + s.grace() + s.lease() + s.lease()/20
 }
-
-// acceptAgents accepts connections of agents until the context ends. While this
-// entry has no term that is ready, it closes them at once.
-func (c *Candidate) acceptAgents(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		<-ctx.Done()
-		if err := c.agentListener.Close(); err != nil {
-			c.Warn("could not close the listener for agents", "err", err)
-		}
-	}()
-	go func() {
-		for {
-			conn, err := c.agentListener.Accept()
-			if ctx.Err() != nil {
-				done <- nil
-				return
-			}
-			if err != nil {
-				done <- errors.Wrap(err, "accept agents")
-				return
-			}
-			t := c.currentTerm()
-			if t == nil || !t.isReady() {
-				conn.Close()
-				continue
-			}
-			go t.serveAgent(conn)
-		}
-	}()
-	return done
-}
--- a/entry/owner/departures.go
+++ b/entry/owner/departures.go
@@ -8,6 +8,7 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/codec"
+	"github.com/berylspar/spar/link"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -84,3 +85,24 @@
 		t.scheduler.EndLife(l)
 	}
 }
+
+// applyReported applies a departure that an agent has told this entry. It has no effect
+// before the stored state is restored.
+func (t *term) applyReported(d link.Departure) {
+	t.stateMu.Lock()
+	defer t.stateMu.Unlock()
+	if t.scheduler.ApplyDeparture(d, time.Now()) {
+		t.departures.add(d.Life)
+	}
+	t.wakeLoop()
+}
+
+// applyKept applies the departures that this entry keeps to the state that was restored.
+// Later ones are applied when they arrive. The term's lock is held.
+func (t *term) applyKept(now time.Time) {
+	for _, d := range t.kept.list(t.clock()) {
+		if t.scheduler.ApplyDeparture(d, now) {
+			t.departures.add(d.Life)
+		}
+	}
+}
--- a/entry/owner/session.go
+++ b/entry/owner/session.go
@@ -35,13 +35,11 @@
 	}
 }
 
-// serveAgent serves an agent's connection until it ends.
-func (t *term) serveAgent(c net.Conn) {
-	conn := link.NewConn[link.AgentMessage, link.OwnerMessage](c)
-	defer conn.Close()
-	hello, err := conn.Receive(silenceTimeout)
-	if err != nil || hello.Node == "" || hello.Worker == nil {
-		t.Warn("agent rejected: no valid first message", "from", c.RemoteAddr(), "err", err)
+// serveAgent serves an agent's connection, of which it gets the first message, until it
+// ends.
+func (t *term) serveAgent(conn *link.Conn[link.AgentMessage, link.OwnerMessage], from net.Addr, hello *link.AgentMessage) {
+	if hello.Node == "" || hello.Worker == nil {
+		t.Warn("agent rejected: no node or no worker in the first message", "from", from)
 		return
 	}
 	s := t.openSession(conn, hello)
@@ -51,7 +49,7 @@
 	t.Info("agent connected", "node", s.node, "token", s.token, "worker", hello.Worker.Life.ID, "epoch", t.epoch)
 	written := make(chan struct{})
 	go s.sendLoop(written)
-	err = t.receiveLoop(s)
+	err := t.receiveLoop(s)
 	t.endSession(s)
 	close(s.ended)
 	<-written
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -172,6 +172,7 @@
 	}
 	t.applyCancels(jobs.Records, now)
 	t.applyDepartures(jobs.Records)
+	t.applyKept(now)
 	t.stateMu.Unlock()
 	self := t.self
 	self.Epoch = t.epoch
