Agent: what the store may not know of a leaving worker is told to all entries

Standing tasks, and others, stayed away for up to 11.25 s plus their start: their workers left by plan while the store was silent, with their agents machines, and the owner was killed before it could store that. Nobody who knew of it was left, so the next owner waited for leases that an earlier one might have granted on workers that did not exist any more.

The agent now tells every entry in the directory, over a short connection to each: - while the worker drains, the ends that no owner has acknowledged 500 ms after they were listed (a store in order takes some tens of milliseconds, so normally nothing is sent); - when it has deregistered and a call to it fails, which is when WorkerLeft is reported, that its life is over, if runs, starts or ends on it may not be settled. It repeats that every 500 ms to entries that have not answered, until all have, there is more to tell, or 15 s have passed. The sender does not depend on the session.

Without a session, since there is no owner, the agent lists a worker that drains itself, between sessions, under the token of the last one, with no lease and no acknowledgement. That changes nothing on the worker: the token is the highest that it has been given, and no call with it follows one with a newer token. So ends after the death of the owner, and that the worker is gone, are known too.

A hold call that ends with the context of its session no longer counts as no answer of the worker. It could have reported a worker as left that deregistered but still answered; then only the closed connection kept that from the owner.

Why no task runs twice: an end that was listed is final in its life, and a departed life is what the agent vouches for today (WorkerLeft).

Rolling upgrade: an entry of the earlier build closes the connection; the agent repeats that for 15 s and goes on as before.

--- a/agent/exec/executor.go
+++ b/agent/exec/executor.go
@@ -67,19 +67,24 @@
 	// leaveReportedEpoch is the epoch of the last owner that was informed that
 	// the worker has left.
 	leaveReportedEpoch int64
+	// lastTarget is the target of the calls of the last session, and listedAt the last
+	// time at which the worker was listed without one.
+	lastTarget spar.Target
+	listedAt   time.Duration
+	departures *departureSender
 }
 
 // NewExecutor returns the executor of a node.
 func NewExecutor(c common.Common, node string, b *Heartbeats, w spar.Worker, s spar.Store, d Dial, clock func() time.Duration) *Executor {
-	return &Executor{Common: c, node: node, heartbeats: b, worker: w, dial: d, clock: clock, directory: track.NewDirectory(s, ownerReadWait, func(err error) {
-		c.Warn("owner record could not be read", "err", err)
-	})}
+	directory := track.NewDirectory(s, ownerReadWait, func(err error) { c.Warn("owner record could not be read", "err", err) })
+	departures := &departureSender{Common: c, node: node, heartbeats: b, directory: directory, dial: d, clock: clock, changed: make(chan struct{}, 1)}
+	return &Executor{Common: c, node: node, heartbeats: b, worker: w, dial: d, clock: clock, directory: directory, departures: departures}
 }
 
 // Run serves until the context ends. The channel then receives the result.
 func (e *Executor) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
-	ownerDone := e.directory.Run(ctx)
+	ownerDone, departuresDone := e.directory.Run(ctx), e.departures.run(ctx)
 	go func() {
 		failures := 0
 		for ctx.Err() == nil {
@@ -97,9 +102,10 @@
 					e.Warn("session ends", "failures", failures, "err", err)
 				}
 			}
+			e.listWithoutSession(ctx)
 			e.waitForChange(ctx)
 		}
-		done <- <-ownerDone
+		done <- errors.CombineErrors(<-ownerDone, <-departuresDone)
 	}()
 	return done
 }
@@ -145,7 +151,9 @@
 	e.epoch = m.Welcome.Epoch
 	e.Info("session begins", "epoch", e.epoch, "token", m.Welcome.Token, "worker", heartbeat.Info.Life.ID)
 	e.Counter("sessions").Inc(1)
-	return newSession(e, life, conn, *m.Welcome, *heartbeat).run(ctx)
+	s := newSession(e, life, conn, *m.Welcome, *heartbeat)
+	e.lastTarget = s.target
+	return s.run(ctx)
 }
 
 // leaseLeft returns how long leases that this process extended for a life can
--- a/agent/exec/life.go
+++ b/agent/exec/life.go
@@ -27,6 +27,10 @@
 	// refused the connection of that call.
 	failedAt     time.Duration
 	disconnected bool
+	// ends are those that no owner has acknowledged.
+	ends unackedEnds
+	// left reports that the worker had deregistered and then did not answer a call.
+	left bool
 }
 
 // runStart is the start of a run.
@@ -84,6 +88,7 @@
 	for _, e := range lists.Ended {
 		delete(l.starts, runKey{e.Task, e.Run})
 	}
+	l.ends.update(lists.Ended, now)
 }
 
 // recordFencedLists applies the worker's lists under a new fencing token. Runs that
@@ -143,5 +148,6 @@
 		e.lifeEnds = e.lifeEnds[max(len(e.lifeEnds)-maxLifeEnds, 0):]
 	}
 	e.lifeRecord = newLifeRecord(current)
+	e.departures.life.Store(e.lifeRecord)
 	return e.lifeRecord
 }
--- a/agent/exec/orders.go
+++ b/agent/exec/orders.go
@@ -37,6 +37,7 @@
 	}
 	if m.Acked > s.acked {
 		s.acked = m.Acked
+		s.life.recordAck(m.Acked)
 		select {
 		case s.ackReceived <- struct{}{}:
 		default:
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -115,7 +115,7 @@
 	}()
 	lists, err := s.fenceAndList(ctx)
 	if err != nil {
-		return s.reportLeft(err)
+		return s.reportLeft(ctx, err)
 	}
 	s.life.recordFencedLists(lists, s.clock())
 	if s.leasedLife != s.target.Life {
@@ -144,9 +144,10 @@
 // reportLeft informs the owner if the worker that stopped answering had
 // deregistered before, which means that no run is left on it. Each owner has to
 // be informed, since a new owner may still expect the worker's runs. It returns
-// cause, the error that ends the session, with that fact added.
-func (s *session) reportLeft(cause error) error {
-	if !s.heartbeats.HasLeft(s.target.Life) {
+// cause, the error that ends the session, with that fact added. A call that the context
+// has ended says nothing about the worker.
+func (s *session) reportLeft(ctx context.Context, cause error) error {
+	if ctx.Err() != nil || !s.recordLeft(s.life) {
 		return cause
 	}
 	if err := s.conn.Send(&link.AgentMessage{WorkerLeft: true}); err != nil {
@@ -209,7 +210,7 @@
 		if err != nil {
 			failures++
 			if errors.Is(err, spar.ErrOtherLife) || failures >= maxHoldAttempts || s.heartbeats.HasLeft(s.target.Life) {
-				return s.reportLeft(errors.Wrap(err, "hold call to the worker"))
+				return s.reportLeft(ctx, errors.Wrap(err, "hold call to the worker"))
 			}
 			s.Warn("hold call to the worker failed", "err", err, "failures", failures)
 			track.Pause(ctx, holdRetryDelay)
