--- a/shard/run_end.go
+++ b/shard/run_end.go
@@ -12,6 +12,11 @@
 // reported again, and also for a run that was already removed as lost.
 func (sc *Scheduler) handleRunEnd(w *worker, e spar.Ended, now time.Time) {
 	sc.pendingAcks[w] = max(sc.pendingAcks[w], e.Number)
+	sc.applyRunEnd(w, e, now)
+}
+
+// applyRunEnd applies the end of a run to its task.
+func (sc *Scheduler) applyRunEnd(w *worker, e spar.Ended, now time.Time) {
 	j := sc.jobs[e.Task.Job]
 	if j == nil {
 		return
@@ -31,7 +36,9 @@
 	if t.done {
 		return
 	}
-	if e.Checkpoint != "" {
+	// A later run may have a later checkpoint, and its gang goes on.
+	superseded := r == nil && e.Run < t.lastRun
+	if e.Checkpoint != "" && !superseded {
 		t.checkpoint = e.Checkpoint
 	}
 	switch e.Ending {
@@ -44,7 +51,7 @@
 			t.notBefore = now
 		}
 	}
-	if t.step.Gang && e.Ending != spar.EndDone {
+	if t.step.Gang && e.Ending != spar.EndDone && !superseded {
 		sc.stopGang(t.step)
 	}
 }
