--- a/prove/simul/departures_test.go
+++ b/prove/simul/departures_test.go
@@ -12,13 +12,9 @@
 	"github.com/berylspar/spar/track"
 )
 
-const (
-	// storeOutage is how long the store is unreachable, and outageLimit the time in which
-	// the tasks must end after that: they may be away for 3 s, and up to three steps of
-	// half a second follow.
-	storeOutage = 4 * time.Second
-	outageLimit = 5 * time.Second
-)
+// outageLimit is the time after an outage in which the tasks must end: they may be away
+// for 3 s, and up to three steps of half a second follow.
+const outageLimit = 5 * time.Second
 
 // Workers leave by plan while the store is unreachable, and their machines are taken away.
 // The owner can not store that and is killed, with another entry or alone, so that nobody
