Agent: a read in flight does not hide the next owner

Runs lapsed on workers that nothing had happened to: the store was silent for 4 s and the owner was killed before it was back. The agents' read of the owner record had been sent in the silence and timed out 4.2 s later, after the leases of the killed owner had ended, although the next owner had published itself 3 s before.

An agent without a session now sends the read again after a second. The stand-in's long polls now hang as long as the platform's do, which is why no test saw it: before they failed after a second.

--- a/agent/exec/executor.go
+++ b/agent/exec/executor.go
@@ -29,8 +29,10 @@
 	logEveryNthFailure = 20
 	// ownerReadWait limits how long one read of the owner topic waits for a new
 	// record. A store connection that stopped responding is detected only after
-	// this time.
-	ownerReadWait = 3 * time.Second
+	// this time, or after ownerReadRepeat while there is no session: the leases
+	// would end before the agent learns of the next owner.
+	ownerReadWait   = 3 * time.Second
+	ownerReadRepeat = time.Second
 )
 
 // Dial opens a connection to an owner.
@@ -103,6 +105,7 @@
 				}
 			}
 			e.listWithoutSession(ctx)
+			e.directory.RepeatRead(ownerReadRepeat)
 			e.waitForChange(ctx)
 		}
 		done <- errors.CombineErrors(<-ownerDone, <-departuresDone)
--- a/stand/store/client.go
+++ b/stand/store/client.go
@@ -90,6 +90,11 @@
 // call runs op under the faults in force. Only writes get no answer (lost) or
 // are carried out late.
 func call[T any](ctx context.Context, c *Client, write bool, op func() (T, error)) (T, error) {
+	return callWithin(ctx, c, write, noAnswerTimeout, op)
+}
+
+// callWithin is call with a time after which a call without an answer fails.
+func callWithin[T any](ctx context.Context, c *Client, write bool, timeout time.Duration, op func() (T, error)) (T, error) {
 	var zero T
 	f := c.drawFaults()
 	if err := delay.Sleep(ctx, callee, callLatency/2+f.Delay); err != nil {
@@ -97,16 +102,16 @@
 	}
 	switch {
 	case f.Unreachable:
-		return zero, delay.NoAnswer(ctx, callee, noAnswerTimeout)
+		return zero, delay.NoAnswer(ctx, callee, timeout)
 	case f.Refuse:
 		return zero, errors.Mark(errors.New("store: call refused by injected fault"), spar.ErrRefused)
 	case write && f.late:
 		time.AfterFunc(f.LateBy, func() { _, _ = op() })
-		return zero, delay.NoAnswer(ctx, callee, noAnswerTimeout)
+		return zero, delay.NoAnswer(ctx, callee, timeout)
 	}
 	out, err := op()
 	if write && f.lost {
-		return zero, delay.NoAnswer(ctx, callee, noAnswerTimeout)
+		return zero, delay.NoAnswer(ctx, callee, timeout)
 	}
 	if e := delay.Sleep(ctx, callee, callLatency/2); e != nil {
 		return zero, e
@@ -127,7 +132,7 @@
 // Follow implements spar.Store.
 func (c *Client) Follow(ctx context.Context, topic string, from int64, wait time.Duration) (spar.Batch, error) {
 	var appended <-chan struct{}
-	b, err := call(ctx, c, false, func() (b spar.Batch, err error) {
+	b, err := callWithin(ctx, c, false, wait+noAnswerTimeout, func() (b spar.Batch, err error) {
 		b, appended, err = c.store.Read(topic, from)
 		return b, err
 	})
--- /dev/null
+++ b/track/current_read.go
@@ -0,0 +1,34 @@
+package track
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// currentRead is the read of a follower that is in flight. The zero value is none.
+type currentRead struct {
+	mu     sync.Mutex
+	sentAt time.Time
+	cancel context.CancelFunc
+}
+
+// begin returns the context of a read that is sent now, and a function that ends it.
+func (r *currentRead) begin(ctx context.Context, now time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sentAt, r.cancel = now, cancel
+	return ctx, cancel
+}
+
+// RepeatRead sends the current read again if it has had no answer for minAge. A read
+// on a connection that has gone silent would otherwise hide new records until it times
+// out, long after the store is back.
+func (f *Follower) RepeatRead(minAge time.Duration) {
+	f.current.mu.Lock()
+	defer f.current.mu.Unlock()
+	if f.current.cancel != nil && time.Since(f.current.sentAt) >= minAge {
+		f.current.cancel()
+	}
+}
--- /dev/null
+++ b/track/current_read_test.go
@@ -0,0 +1,63 @@
+package track_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/track"
+	"github.com/cockroachdb/errors"
+)
+
+// silentStore answers no read that is sent before backAt; such a read times out only after
+// readLimit. Later ones are answered at once.
+type silentStore struct {
+	spar.Store
+	backAt time.Time
+	reads  int
+}
+
+const readLimit = 4 * time.Second
+
+func (*silentStore) Newest(context.Context, string) (spar.Batch, error) { return spar.Batch{}, nil }
+
+func (s *silentStore) Follow(ctx context.Context, _ string, from int64, wait time.Duration) (spar.Batch, error) {
+	s.reads++
+	if time.Now().Before(s.backAt) {
+		track.Pause(ctx, readLimit)
+		return spar.Batch{}, errors.New("no answer")
+	}
+	if from > 0 {
+		track.Pause(ctx, wait)
+		return spar.Batch{Next: from}, ctx.Err()
+	}
+	return spar.Batch{Records: []spar.Record{{Key: "k", Value: []byte{1}}}, Next: 1}, nil
+}
+
+// The store is silent for a while, with a read in flight. A record that is written when it
+// is back must not be hidden until that read times out.
+func TestRepeatedReadFindsRecordsAfterTheStoreWasSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &silentStore{backAt: time.Now().Add(2 * time.Second)}
+		var readAt time.Time
+		f := &track.Follower{Store: s, Topic: "owner", Wait: 3 * time.Second, OnSnapshot: func([]spar.Record) {}, OnRecords: func([]spar.Record) { readAt = time.Now() }, OnError: func(err error) { t.Error(err) }}
+		done := f.Run(ctx)
+		for range 80 {
+			time.Sleep(100 * time.Millisecond)
+			f.RepeatRead(time.Second)
+		}
+		if late := readAt.Sub(s.backAt); readAt.IsZero() || late > time.Second {
+			t.Errorf("the record was read at %s, %s after the store was back", readAt, late)
+		}
+		if s.reads > 11 {
+			t.Errorf("%d reads in 8 s, want one a second at most", s.reads)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/track/follower.go
+++ b/track/follower.go
@@ -33,6 +33,7 @@
 	// freshNS is FreshAt in nanoseconds since startTime, 0 before the first read.
 	freshNS atomic.Int64
 	failing atomic.Bool
+	current currentRead
 }
 
 // FreshAt returns the time up to which every written record has been read; zero
@@ -60,7 +61,13 @@
 		next := int64(-1)
 		for ctx.Err() == nil {
 			sent := time.Now()
-			b, err := f.read(ctx, next)
+			readCtx, end := f.current.begin(ctx, sent)
+			b, err := f.read(readCtx, next)
+			repeat := err != nil && ctx.Err() == nil && readCtx.Err() != nil
+			end()
+			if repeat {
+				continue
+			}
 			f.failing.Store(err != nil && !errors.Is(err, spar.ErrGone))
 			if err == nil {
 				next = b.Next
