Agent: a call from before the deregistration does not tell that a worker has left

A hold call was sent 0.2 s before the worker deregistered and got no answer 0.08 s after that, while the worker was still at work. The session reported the worker as left, the owner started its tasks elsewhere 4 ms later, and the worker ended 0.1 s after that.

The fault is older than departures: any failed call after the deregistration counted. Only a call that was sent after it tells that now, or one that was disconnected or met a later life, which a call in progress at the end of the worker is. A worker that ends as planned closes its connections, so that it is reported as fast as before.

The unit test is of that condition.

--- a/agent/exec/departure.go
+++ b/agent/exec/departure.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/link"
+	"github.com/cockroachdb/errors"
 )
 
 // minUnackedAge is the age of an unacknowledged end from which the store may not know it.
@@ -56,6 +58,7 @@
 		return
 	}
 	e.listedAt = e.clock()
+	begun := time.Now()
 	lists, err := e.worker.Hold(ctx, e.lastTarget, 0, 0, 0)
 	if ctx.Err() != nil {
 		return
@@ -65,13 +68,16 @@
 		l.recordLists(lists, e.clock())
 		return
 	}
-	e.recordLeft(l)
+	e.recordLeft(ctx, l, begun, err)
 }
 
 // recordLeft records after a failed call to the worker that it has left, if it had
-// deregistered, and reports whether that is so.
-func (e *Executor) recordLeft(l *lifeRecord) bool {
-	if !e.heartbeats.HasLeft(l.life) {
+// deregistered, and reports whether that is so. A call that was sent before says so only
+// if it was disconnected: the worker may still have been at work when it got no answer. A
+// call that the context has ended never does.
+func (e *Executor) recordLeft(ctx context.Context, l *lifeRecord, begun time.Time, err error) bool {
+	isOver := errors.Is(err, spar.ErrDisconnected) || errors.Is(err, spar.ErrOtherLife)
+	if ctx.Err() != nil || !e.heartbeats.HasLeft(l.life) || !isOver && !e.heartbeats.HadLeft(l.life, begun) {
 		return false
 	}
 	l.recordLeft()
--- a/agent/exec/departures_test.go
+++ b/agent/exec/departures_test.go
@@ -244,6 +244,7 @@
 		b.worker.change(func() { b.worker.running = []spar.Running{{Task: spar.TaskRef{Job: "a"}, Run: 1}} })
 		time.Sleep(time.Second)
 		b.beats.Deregister(workerLife.ID)
+		time.Sleep(200 * time.Millisecond)
 		b.set(func() { b.down = true })
 		time.Sleep(5 * time.Second)
 		b.expect(t, 0, 0, false)
--- a/agent/exec/heartbeats.go
+++ b/agent/exec/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/common"
@@ -36,6 +37,8 @@
 	last *Heartbeat
 	// deregistered is the last life that announced its end.
 	deregistered spar.Life
+	// deregisteredAt is when it did so.
+	deregisteredAt time.Time
 	// drained is the last life that was draining when the next one began.
 	drained spar.Life
 	changed chan struct{}
@@ -66,6 +69,13 @@
 	return b.deregistered == l
 }
 
+// HadLeft reports whether a life of the worker had deregistered at a time.
+func (b *Heartbeats) HadLeft(l spar.Life, at time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.deregistered == l && !at.Before(b.deregisteredAt)
+}
+
 // WasDraining reports whether a life that is over had been draining, so that its
 // end was to be expected.
 func (b *Heartbeats) WasDraining(l spar.Life) bool {
@@ -132,7 +142,7 @@
 		r := *b.last
 		r.Info.Draining = true
 		b.last = &r
-		b.deregistered = r.Info.Life
+		b.deregistered, b.deregisteredAt = r.Info.Life, time.Now()
 		b.Info("worker deregistered", "worker", id)
 	}
 }
--- /dev/null
+++ b/agent/exec/left_test.go
@@ -0,0 +1,41 @@
+package exec
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/berylspar/spar"
+)
+
+// A hold call gets no answer while the worker is at work, and the worker deregisters before
+// the call has timed out. It may work on for a moment, so only a later call, or one that the
+// end of the worker has cut off, tells that it has left.
+func TestCallBeforeTheDeregistrationDoesNotTellThatTheWorkerHasLeft(t *testing.T) {
+	for name, tt := range map[string]struct {
+		err  error
+		late bool
+		left bool
+	}{
+		"no answer to an earlier call": {errTimedOut, false, false},
+		"no answer to a later call":    {errTimedOut, true, true},
+		"earlier call disconnected":    {errClosed, false, true},
+		"earlier call to a later life": {spar.ErrOtherLife, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, beats := newRoomSession(&leavingWorker{}, spar.Size{})
+				begun := time.Now()
+				time.Sleep(100 * time.Millisecond)
+				beats.Deregister(workerLife.ID)
+				if tt.late {
+					begun = time.Now()
+				}
+				time.Sleep(100 * time.Millisecond)
+				if left := s.recordLeft(t.Context(), s.life, begun, tt.err); left != tt.left || s.life.hasLeft() != tt.left {
+					t.Errorf("left %v, recorded %v, want %v", left, s.life.hasLeft(), tt.left)
+				}
+			})
+		})
+	}
+}
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -74,7 +74,9 @@
 	// whether the run had started.
 	stoppedRuns map[runKey]int64
 	// listNumber counts the hold calls of the session.
-	listNumber    int64
+	listNumber int64
+	// listBegun is when the last hold call was made.
+	listBegun     time.Time
 	ackReceived   chan struct{}
 	outcomeQueued chan struct{}
 }
@@ -144,10 +146,9 @@
 // reportLeft informs the owner if the worker that stopped answering had
 // deregistered before, which means that no run is left on it. Each owner has to
 // be informed, since a new owner may still expect the worker's runs. It returns
-// cause, the error that ends the session, with that fact added. A call that the context
-// has ended says nothing about the worker.
+// cause, the error that ends the session, with that fact added.
 func (s *session) reportLeft(ctx context.Context, cause error) error {
-	if ctx.Err() != nil || !s.recordLeft(s.life) {
+	if !s.recordLeft(ctx, s.life, s.listBegun, cause) {
 		return cause
 	}
 	if err := s.conn.Send(&link.AgentMessage{WorkerLeft: true}); err != nil {
@@ -175,6 +176,7 @@
 
 // listWorker makes a hold call and records its result.
 func (s *session) listWorker(ctx context.Context, acked, until int64, wait time.Duration) (spar.RunLists, error) {
+	s.listBegun = time.Now()
 	l, err := s.worker.Hold(ctx, s.target, acked, until, wait)
 	if ctx.Err() != nil {
 		return l, err
@@ -209,7 +211,7 @@
 		s.Timer("hold").Record(time.Since(started))
 		if err != nil {
 			failures++
-			if errors.Is(err, spar.ErrOtherLife) || failures >= maxHoldAttempts || s.heartbeats.HasLeft(s.target.Life) {
+			if errors.Is(err, spar.ErrOtherLife) || failures >= maxHoldAttempts || s.recordLeft(ctx, s.life, s.listBegun, err) {
 				return s.reportLeft(ctx, errors.Wrap(err, "hold call to the worker"))
 			}
 			s.Warn("hold call to the worker failed", "err", err, "failures", failures)
