Shard: the wait for silent workers can end earlier

A new owner counted the runs of each silent worker as present until the longest time that any earlier owner could have granted leases for. ShortenRestoredLeases ends that wait when it is known that all leases of earlier owners are over. It applies to workers without a session in this term only, and never makes a wait longer. The test covers these three cases.

--- /dev/null
+++ b/shard/earlier_lease_test.go
@@ -0,0 +1,46 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/berylspar/spar"
+)
+
+// The earlier owners have told a new one when their leases end. It must wait for a worker
+// that has not connected until then and no longer; a worker with a session in this term
+// has leases of its own, and a wait is never made longer.
+func TestWaitForSilentWorkerEndsWithTheLeasesOfEarlierOwners(t *testing.T) {
+	const wait = 12 * time.Second
+	for _, tt := range []struct {
+		name    string
+		expire  time.Duration
+		connect bool
+		want    time.Duration
+	}{
+		{"silent worker", 4 * time.Second, false, 4 * time.Second},
+		{"leases that last longer than the wait", time.Minute, false, wait},
+		{"worker that had a session in this term", time.Second, true, limits.Lease + limits.Lease/50 + 50*time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.connect("n1")
+			a := h.submitAndStart("j1", "checks", shortStep(1))
+			h.replaceOwner(wait)
+			h.connect("n2")
+			if tt.connect {
+				h.connect("n1", spar.Running{Task: a.Task, Run: a.Run})
+				h.scheduler.Disconnect("n1", h.tokens["n1"])
+			}
+			if runs, workers := h.scheduler.RestoredRuns(); !tt.connect && (runs != 1 || workers != 1) {
+				t.Errorf("%d restored runs on %d workers, want 1 on 1", runs, workers)
+			}
+			h.scheduler.ShortenRestoredLeases(h.now.Add(tt.expire))
+			h.advance(tt.want)
+			h.scheduler.GrantLease("n2", h.tokens["n2"], h.now)
+			h.expectStarts(h.runCycle(), 0)
+			h.advance(10 * time.Millisecond)
+			h.expectStarts(h.runCycle(), 1)
+		})
+	}
+}
--- a/shard/session.go
+++ b/shard/session.go
@@ -25,7 +25,7 @@
 func (sc *Scheduler) Connect(node string, info spar.WorkerInfo, token int64, maxLeaseLeft *time.Duration, now time.Time) {
 	old := sc.workers[node]
 	if old != nil && old.info.Life == info.Life {
-		old.info, old.token, old.listed = info, token, false
+		old.info, old.token, old.listed, old.restored = info, token, false, false
 		remaining := sc.limits.Lease
 		if maxLeaseLeft != nil {
 			remaining = min(*maxLeaseLeft, remaining)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -19,6 +19,9 @@
 	// leasesExpire is when all leases on the worker have expired if no more are
 	// granted.
 	leasesExpire time.Time
+	// restored reports whether all that is known of the worker was stored by an earlier
+	// owner.
+	restored bool
 	// runs are the runs that may be on the worker, and room their size; see addRun.
 	runs map[*run]bool
 	room spar.Size
