Owner: ask earlier owners about their grants instead of assuming the worst

What callers saw: tasks on a worker that vanished around a change of the owner stayed away for 11.25 s and more, though there was room for them.

Cause: a new owner cannot know when an earlier one granted its last lease, and assumed that it might until ttl and grace were over.

The owner record now lists the earlier owners whose grants are not settled. A new owner fences the owner topic before it reads the record, so that none can be added behind its back, and asks each of them at POST /grants. The answer is how long ago the last lease was granted, and from then on the asked process grants none under an epoch below the asker's. A process that was restarted answers with its age: one that takes part in the election holds its admin address, so the process before it is over. When all have answered, the new owner waits for a lease from the latest of those grants, and 2 s at least, so that agents can report ends that were not stored. An owner that does not answer, or a record of an earlier build, is waited for as before.

A predecessor leaves the stored list only after its answer or when its leases are over, and the answer of an owner is no older than those that it has got itself, so nothing is lost when owners follow each other quickly.

The takeover makes one append and one read more; both run beside the others, so that it is three calls long instead of four.

The checker reports second runs in TestTasksUnderLeasesOfCutOffOwnerStartElsewhereOnlyAfterThem when an owner that does not answer is taken for settled, and when the asked owner goes on granting. The simulated entries keep their peer address over restarts, and TestRandomFaults also isolates entries from each other.

--- a/entry/batch/daemon.go
+++ b/entry/batch/daemon.go
@@ -81,7 +81,7 @@
 		},
 		func(c *platform.Client) spar.Adviser { return newAdviser(c, s.Adviser) },
 		func(c common.Common, st spar.Store, ad spar.Adviser, w *config.Watcher, l *listeners) *owner.Candidate {
-			return owner.NewCandidate(c, s.Owner, st, ad, w, newMemberName(s.Name), link.EntryRecord{AgentAddress: cmp.Or(s.ReachAgents, s.Agents), PeerAddress: s.Admin}, l.agents, clock.Now)
+			return owner.NewCandidate(c, s.Owner, st, ad, w, newMemberName(s.Name), link.EntryRecord{AgentAddress: cmp.Or(s.ReachAgents, s.Agents), PeerAddress: s.Admin}, l.agents, clock.Now, owner.NewHTTPPeers())
 		},
 		owner.NewClient,
 		func(c *owner.Client) jobapi.Jobs { return c },
@@ -144,11 +144,13 @@
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	d.Info("entry starts", "name", p.Settings.Name, "domain", p.Settings.Domain, "listen", p.Settings.Listen)
-	candidateDone := p.Candidate.Run(ctx)
+	// A process that takes part in the election holds its admin address: when another
+	// one listens there, this one is over and grants no more leases.
 	metrics, err := common.ServeAdmin(serveCtx, p.Settings.Admin, p.Base, p.Candidate.AddRoutes)
 	if err != nil {
 		return err
 	}
+	candidateDone := p.Candidate.Run(ctx)
 	ends := []<-chan error{
 		p.Config.Run(serveCtx), p.Directory.Run(serveCtx), metrics,
 		p.Server.Serve(serveCtx, p.Listeners.callers), p.Server.ServeReady(serveCtx, p.Listeners.ready),
--- a/entry/jobapi/server_test.go
+++ b/entry/jobapi/server_test.go
@@ -40,7 +40,7 @@
 	for w.Load().Rules == nil {
 		time.Sleep(time.Millisecond)
 	}
-	candidate := owner.NewCandidate(c, owner.DefaultSettings(), client, nil, w, "e", link.EntryRecord{}, nil, func() time.Duration { return 0 })
+	candidate := owner.NewCandidate(c, owner.DefaultSettings(), client, nil, w, "e", link.EntryRecord{}, nil, func() time.Duration { return 0 }, owner.NewHTTPPeers())
 	jobs := owner.NewClient(c, candidate, track.NewDirectory(client, time.Second, func(error) {}))
 	return NewServer(c, w, jobs, Format{DecodeJob: platform.DecodeJob, EncodeState: platform.EncodeJobState, EncodeQueueLength: platform.EncodeQueueLength, TimeoutHeader: platform.CallerTimeoutHeader}), st
 }
--- a/entry/owner/candidate.go
+++ b/entry/owner/candidate.go
@@ -50,6 +50,8 @@
 	// suspended.
 	clock func() time.Duration
 
+	peers                     Peers
+	grants                    grants
 	writeLatency, joinLatency hedge.Latency
 	// published reports whether this entry's address is stored for the others.
 	published bool
@@ -66,9 +68,9 @@
 
 // NewCandidate returns a candidate. Agents connect to the listener. The adviser
 // may be nil.
-func NewCandidate(c common.Common, s Settings, st spar.Store, ad spar.Adviser, w *config.Watcher, member string, self link.EntryRecord, agents net.Listener, clock func() time.Duration) *Candidate {
+func NewCandidate(c common.Common, s Settings, st spar.Store, ad spar.Adviser, w *config.Watcher, member string, self link.EntryRecord, agents net.Listener, clock func() time.Duration, p Peers) *Candidate {
 	store := intake.NewStore(c, st)
-	return &Candidate{Common: c, settings: s, store: store, jobs: intake.NewWriter(store, JobsTopic), adviser: ad, config: w, member: member, self: self, agentListener: agents, clock: clock}
+	return &Candidate{peers: p, grants: grants{last: clock()}, Common: c, settings: s, store: store, jobs: intake.NewWriter(store, JobsTopic), adviser: ad, config: w, member: member, self: self, agentListener: agents, clock: clock}
 }
 
 // Run takes part in the election until the context ends. It then leaves the
@@ -158,12 +160,13 @@
 	c.lastEpoch = epoch
 	t := newTerm(c, epoch, until)
 	t.generation = generation
-	c.mu.Lock()
-	c.term = t
-	c.mu.Unlock()
 	c.Info("term begins", "epoch", epoch)
 	c.Counter("terms").Inc(1)
+	c.grants.begin(epoch)
 	t.start(ctx)
+	c.mu.Lock()
+	c.term = t
+	c.mu.Unlock()
 }
 
 func (c *Candidate) endTerm(ctx context.Context, reason string) {
@@ -198,9 +201,12 @@
 // owner grants leases until its term and the grace period are over; the last
 // part allows for a slow clock of the worker.
 func (s Settings) maxEarlierLease() time.Duration {
-	return s.ttl() + s.grace() + s.lease() + s.lease()/20
+	return s.ttl() + s.grace() + s.leaseBound()
 }
 
+// leaseBound is the longest time from the grant of a lease to its end.
+func (s Settings) leaseBound() time.Duration { return s.lease() + s.lease()/20 }
+
 // acceptAgents accepts connections of agents until the context ends. While this
 // entry has no term that is ready, it closes them at once.
 func (c *Candidate) acceptAgents(ctx context.Context) <-chan error {
--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +34,6 @@
 	common.Common
 	candidate    *Candidate
 	directory    *track.Directory
-	http         *fasthttp.Client
 	writeLatency hedge.Latency
 	// relayedAt is when another entry last stored a record for this one, in Unix
 	// nanoseconds.
@@ -44,10 +42,7 @@
 
 // NewClient returns a client in the process of a candidate.
 func NewClient(c common.Common, candidate *Candidate, directory *track.Directory) *Client {
-	return &Client{Common: c, candidate: candidate, directory: directory, http: &fasthttp.Client{
-		Dial:                     func(addr string) (net.Conn, error) { return net.DialTimeout("tcp4", addr, connectTimeout) },
-		NoDefaultUserAgentHeader: true, MaxIdleConnDuration: 10 * time.Second,
-	}}
+	return &Client{Common: c, candidate: candidate, directory: directory}
 }
 
 // reply is the answer to another entry's query.
@@ -122,7 +117,7 @@
 	if owner == nil || owner.PeerAddress == c.candidate.self.PeerAddress {
 		return reply{}, errors.Wrap(ErrUnreachable, "no other entry is known to be the owner")
 	}
-	code, body, err := c.callPeer(fasthttp.MethodGet, owner.PeerAddress, path, nil, capToDeadline(ctx, queryTimeout))
+	code, body, err := c.candidate.peers.Call(fasthttp.MethodGet, owner.PeerAddress, path, nil, capToDeadline(ctx, queryTimeout))
 	switch {
 	case err != nil:
 		return reply{}, errors.Mark(err, ErrUnreachable)
@@ -134,22 +129,6 @@
 	return r, errors.Wrapf(err, "decode reply of owner at %s", owner.PeerAddress)
 }
 
-// callPeer makes an HTTP call to another entry. If there is no answer, it closes
-// all idle connections, since they may be broken as well.
-func (c *Client) callPeer(method, peer, path string, body []byte, limit time.Duration) (int, []byte, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + peer + path)
-	req.SetBodyRaw(body)
-	if err := c.http.DoTimeout(req, resp, limit); err != nil {
-		c.http.CloseIdleConnections()
-		return 0, nil, errors.Wrapf(err, "call entry at %s", peer)
-	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
-}
-
 // capToDeadline returns limit, or the time left until the context's deadline if
 // that is less.
 func capToDeadline(ctx context.Context, limit time.Duration) time.Duration {
@@ -161,10 +140,13 @@
 
 // AddRoutes adds the routes that other entries call.
 func (c *Candidate) AddRoutes(r *router.Router) {
+	// The address is held by now, so an earlier process at it is over.
+	c.grants.raise(c.clock())
 	r.GET("/jobs/{id}", func(rc *fasthttp.RequestCtx) {
 		c.answerQuery(rc, func(t *term) (reply, error) { return t.stateOf(rc.UserValue("id").(string)) })
 	})
 	r.POST("/records", c.storeForPeer)
+	r.POST(grantsPath, c.answerGrants)
 	r.GET("/queues/{name}", func(rc *fasthttp.RequestCtx) {
 		c.answerQuery(rc, func(t *term) (reply, error) { return t.waitingIn(rc.UserValue("name").(string)) })
 	})
--- a/entry/owner/session.go
+++ b/entry/owner/session.go
@@ -142,7 +142,7 @@
 		}
 	}
 	var reply *link.OwnerMessage
-	if m.Heartbeat > 0 && t.mayGrant() && t.scheduler.GrantLease(s.node, s.token, now) {
+	if m.Heartbeat > 0 && t.mayGrant() && t.scheduler.GrantLease(s.node, s.token, now) && t.grants.record(t.epoch, t.clock) {
 		reply = &link.OwnerMessage{Grant: m.Heartbeat}
 	}
 	if m.Complete || len(m.Ended) > 0 || len(m.Outcomes) > 0 || m.Worker != nil || m.WorkerLeft || len(m.Running) > 0 {
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -70,6 +70,9 @@
 	// the keys of earlier ones that are to be dropped.
 	departures        departures
 	handledDepartures []string
+	// predecessors is used by the goroutine of takeOver, and later by that of
+	// settlePredecessors.
+	predecessors predecessors
 }
 
 func newTerm(c *Candidate, epoch int64, until time.Duration) *term {
@@ -132,7 +135,7 @@
 	if !t.takeOver(ctx) {
 		return
 	}
-	following, dropping := t.jobs.Run(ctx), t.dropExpired(ctx)
+	following, dropping, settling := t.jobs.Run(ctx), t.dropExpired(ctx), t.settlePredecessors(ctx)
 	t.loop(ctx)
 	if err := <-following; err != nil {
 		t.Warn("following the jobs topic failed", "err", err)
@@ -140,50 +143,82 @@
 	if err := <-dropping; err != nil {
 		t.Warn("dropping expired records failed", "err", err)
 	}
+	if err := <-settling; err != nil {
+		t.Warn("list of earlier owners is no longer stored", "epoch", t.epoch, "err", err)
+	}
 }
 
 // takeOver fences older owners, restores the stored state and publishes the
 // owner's addresses. It reports whether that succeeded.
 func (t *term) takeOver(ctx context.Context) bool {
 	begun := time.Now()
-	if !t.appendFenced(ctx, stateTopic, 0, nil) {
+	if !t.fence(ctx) {
 		return false
 	}
-	var jobs, state spar.Batch
-	for _, r := range []struct {
-		topic string
-		batch *spar.Batch
-	}{{JobsTopic, &jobs}, {stateTopic, &state}} {
-		err := t.retryStoreCall(ctx, 0, func() (err error) {
-			*r.batch, err = t.store.Newest(ctx, r.topic)
-			return err
-		})
-		if err != nil {
-			t.fail(err)
-			return false
-		}
+	var batches [3]spar.Batch
+	if !forEach(ctx, []string{JobsTopic, stateTopic, link.OwnerTopic}, func(ctx context.Context, i int, topic string) bool { return t.readNewest(ctx, topic, &batches[i]) }) {
+		return false
 	}
+	jobs, state := batches[0], batches[1]
+	t.predecessors.unsettled = t.findPredecessors(batches[2].Records, state.Records)
+	t.settleOwn()
 	now := time.Now()
 	t.stateMu.Lock()
 	t.applyConfig()
 	t.applySubmissions(jobs.Records, func(j spar.Job) { t.scheduler.SubmitEarlier(j, now, now) })
-	for _, err := range t.scheduler.Restore(state.Records, now, now.Add(t.settings.maxEarlierLease())) {
+	t.predecessors.waitUntil = now.Add(t.settings.maxEarlierLease())
+	for _, err := range t.scheduler.Restore(state.Records, now, t.predecessors.waitUntil) {
 		t.Warn("could not restore stored progress", "err", err)
 	}
 	t.applyCancels(jobs.Records, now)
 	t.applyDepartures(jobs.Records)
+	runs, workers := t.scheduler.RestoredRuns()
 	t.stateMu.Unlock()
-	self := t.self
-	self.Epoch = t.epoch
-	if !t.appendFenced(ctx, link.OwnerTopic, 0, []spar.Record{{Key: link.OwnerKey, Value: self.Encode()}}) {
+	t.predecessors.recordSeq = 1
+	if !t.appendFenced(ctx, link.OwnerTopic, t.predecessors.recordSeq, t.ownerRecord()) {
 		return false
 	}
 	t.restored.Store(true)
-	t.Info("state taken over", "epoch", t.epoch, "jobs", len(jobs.Records), "progress", len(state.Records), "took", time.Since(begun))
+	t.Info("state taken over", "epoch", t.epoch, "jobs", len(jobs.Records), "progress", len(state.Records), "took", time.Since(begun),
+		"runs", runs, "workers", workers, "wait", time.Until(t.predecessors.waitUntil), "earlier_owners", len(t.predecessors.unsettled))
 	t.Timer("takeover").Record(time.Since(begun))
 	return true
 }
 
+// fence keeps older owners from appending to the topics of the owner.
+func (t *term) fence(ctx context.Context) bool {
+	return forEach(ctx, []string{stateTopic, link.OwnerTopic}, func(ctx context.Context, _ int, topic string) bool {
+		return t.appendFenced(ctx, topic, 0, nil)
+	})
+}
+
+// readNewest reads the newest records of a topic and repeats that until it is answered.
+// It reports whether that succeeded; if not, the term has failed.
+func (t *term) readNewest(ctx context.Context, topic string, into *spar.Batch) bool {
+	err := t.retryStoreCall(ctx, 0, func() (err error) {
+		*into, err = t.store.Newest(ctx, topic)
+		return err
+	})
+	if err != nil {
+		t.fail(err)
+	}
+	return err == nil
+}
+
+// forEach makes a call for each topic, all at the same time, and reports whether all
+// succeeded.
+func forEach(ctx context.Context, topics []string, call func(ctx context.Context, i int, topic string) bool) bool {
+	results := make(chan bool, len(topics))
+	for i, topic := range topics {
+		go func() { results <- call(ctx, i, topic) }()
+	}
+	ok := true
+	for range topics {
+		ok = <-results && ok
+	}
+	return ok
+}
+
 // applyJobRecords applies records of the jobs topic to the shard.
 func (t *term) applyJobRecords(records []spar.Record) {
 	now := time.Now()
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -161,7 +161,7 @@
 
 // relay stores a record through another entry.
 func (c *Client) relay(ctx context.Context, peer string, r spar.Record) error {
-	code, _, err := c.callPeer(fasthttp.MethodPost, peer, "/records?key="+url.QueryEscape(r.Key), r.Value, capToDeadline(ctx, relayTimeout))
+	code, _, err := c.candidate.peers.Call(fasthttp.MethodPost, peer, "/records?key="+url.QueryEscape(r.Key), r.Value, capToDeadline(ctx, relayTimeout))
 	var op *net.OpError
 	switch {
 	case errors.As(err, &op) && op.Op == "dial":
--- a/link/record.go
+++ b/link/record.go
@@ -24,6 +24,11 @@
 	AgentAddress string `msgpack:"a"`
 	// PeerAddress is the address that other entries call.
 	PeerAddress string `msgpack:"p"`
+	// Predecessors are the earlier owners that the owner has not asked about their
+	// grants yet. Without ListsPredecessors nothing is known of them, since the record
+	// is of a build that does not list them.
+	Predecessors      []Predecessor `msgpack:"q,omitempty"`
+	ListsPredecessors bool          `msgpack:"l,omitempty"`
 }
 
 // Encode returns the stored form.
--- a/prove/simul/jobs_test.go
+++ b/prove/simul/jobs_test.go
@@ -1,6 +1,7 @@
 package simul_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -28,7 +29,7 @@
 		return crashDelay, worker.EndCrash
 	}
 	if s.fixedWorkload {
-		return 500 * time.Millisecond, spar.EndDone
+		return cmp.Or(s.runTime, 500*time.Millisecond), spar.EndDone
 	}
 	duration := time.Duration(200+s.random.IntN(3000)) * time.Millisecond
 	if s.jobs[t.Job].alwaysFails || s.random.Float64() < 0.03 {
--- a/prove/simul/net_test.go
+++ b/prove/simul/net_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // network connects agents and owners in one process. A connection that was used
@@ -16,10 +17,60 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	isolated  map[string]bool
+	// cut holds pairs of ends that do not reach each other.
+	cut map[[2]string]bool
+	// peers holds the routes of the running entries by address.
+	peers map[string]fasthttp.RequestHandler
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*listener{}, isolated: map[string]bool{}}
+	return &network{listeners: map[string]*listener{}, isolated: map[string]bool{}, cut: map[[2]string]bool{}, peers: map[string]fasthttp.RequestHandler{}}
+}
+
+// setCut cuts the connection between two ends, in both directions.
+func (n *network) setCut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{a, b}], n.cut[[2]string{b, a}] = true, true
+}
+
+// setPeer makes an entry answer calls of others at its address, or no more if handler is
+// nil.
+func (n *network) setPeer(address string, handler fasthttp.RequestHandler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers[address] = handler
+}
+
+// peerCaller calls other entries from the entry at an address.
+type peerCaller struct {
+	net  *network
+	from string
+}
+
+// peerLatency is the duration of a call to another entry.
+const peerLatency = 2 * time.Millisecond
+
+// Call implements owner.Peers.
+func (p peerCaller) Call(method, address, path string, body []byte, limit time.Duration) (int, []byte, error) {
+	p.net.mu.Lock()
+	handler := p.net.peers[address]
+	p.net.mu.Unlock()
+	if p.net.isBlocked(p.from, address) {
+		time.Sleep(limit)
+		return 0, nil, errors.New("call: no answer")
+	}
+	time.Sleep(peerLatency)
+	if handler == nil {
+		return 0, nil, errors.New("call: refused")
+	}
+	var rc fasthttp.RequestCtx
+	rc.Request.Header.SetMethod(method)
+	rc.Request.SetRequestURI(path)
+	rc.Request.SetBody(body)
+	handler(&rc)
+	time.Sleep(peerLatency)
+	return rc.Response.StatusCode(), rc.Response.Body(), nil
 }
 
 // setIsolated isolates one end from all others, or reconnects it.
@@ -32,7 +83,7 @@
 func (n *network) isBlocked(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.isolated[a] || n.isolated[b]
+	return n.isolated[a] || n.isolated[b] || n.cut[[2]string{a, b}]
 }
 
 type listener struct {
--- a/prove/simul/random_test.go
+++ b/prove/simul/random_test.go
@@ -160,6 +160,11 @@
 	case 8:
 		e.storeClient.SetFaults(store.Faults{Unreachable: true})
 		s.schedule(duration, func() { e.storeClient.SetFaults(store.Faults{}) })
+		if s.random.IntN(2) == 0 {
+			// Other entries do not reach it either; agents do.
+			s.net.setIsolated(e.name, true)
+			s.schedule(duration, func() { s.net.setIsolated(e.name, false) })
+		}
 	case 9:
 		e.storeClient.SetFaults(store.Faults{LostShare: 0.3, LateShare: 0.2, LateBy: duration / 2})
 		s.schedule(duration, func() { e.storeClient.SetFaults(store.Faults{}) })
@@ -263,6 +268,7 @@
 	s.runDue(time.Now().Add(time.Hour))
 	for _, e := range s.entries {
 		e.storeClient.SetFaults(store.Faults{})
+		s.net.setIsolated(e.name, false)
 		if e.cancel == nil {
 			s.startEntry(e)
 		}
--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -20,6 +20,7 @@
 	"github.com/berylspar/spar/stand/store"
 	"github.com/berylspar/spar/stand/worker"
 	"github.com/berylspar/spar/track"
+	"github.com/fasthttp/router"
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -48,8 +49,10 @@
 	// crashingTasks adds tasks that crash their workers, and workers that shrink or
 	// whose processes crash.
 	crashingTasks bool
-	// fixedWorkload makes every run last half a second and succeed.
+	// fixedWorkload makes every run last half a second, or runTime if it is set, and
+	// succeed.
 	fixedWorkload bool
+	runTime       time.Duration
 }
 
 // job is a submitted job. cancelledAt is zero until its cancel was accepted.
@@ -158,7 +161,10 @@
 	c := s.common(name)
 	watch := config.NewWatcher(c, e.storeClient, topic, s.decodeChange)
 	clock := func() time.Duration { return time.Since(s.startedAt) }
-	e.owner = owner.NewCandidate(c, ownerSettings(), e.storeClient, nil, watch, name, link.EntryRecord{AgentAddress: name, PeerAddress: name}, s.net.listen(name), clock)
+	e.owner = owner.NewCandidate(c, ownerSettings(), e.storeClient, nil, watch, name, link.EntryRecord{AgentAddress: name, PeerAddress: e.name}, s.net.listen(name), clock, peerCaller{s.net, e.name})
+	routes := router.New()
+	e.owner.AddRoutes(routes)
+	s.net.setPeer(e.name, routes.Handler)
 	e.asker = owner.NewClient(c, e.owner, track.NewDirectory(e.storeClient, time.Second, func(error) {}))
 	e.cancel, e.ends = cancel, []<-chan error{watch.Run(ctx), e.owner.Run(ctx)}
 }
@@ -176,6 +182,7 @@
 		return
 	}
 	e.storeClient.SetFaults(store.Faults{Unreachable: true})
+	s.net.setPeer(e.name, nil)
 	s.net.setIsolated(fmt.Sprintf("%s.%d", e.name, e.startCount), true)
 	s.stopEntry(e)
 	e.storeClient.SetFaults(store.Faults{})
@@ -190,6 +197,7 @@
 		<-c
 	}
 	e.cancel = nil
+	s.net.setPeer(e.name, nil)
 }
 
 func (s *simulation) startNode(n *node) {
--- a/stand/worker/worker.go
+++ b/stand/worker/worker.go
@@ -102,6 +102,13 @@
 	return w.life, w.up
 }
 
+// RunCount returns the number of runs on the worker.
+func (w *Worker) RunCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs)
+}
+
 // Size returns the worker's size.
 func (w *Worker) Size() spar.Size {
 	w.mu.Lock()
