--- a/entry/owner/grants_test.go
+++ b/entry/owner/grants_test.go
@@ -18,8 +18,8 @@
 func newGrantingTerm(t *testing.T, epoch int64) (*term, *session, *time.Duration) {
 	now := new(time.Duration)
 	tm := newTestTerm(store.NewClient(&store.Store{}, 1))
-	tm.Candidate.clock = func() time.Duration { return *now }
-	tm.Candidate.term, tm.epoch = tm, epoch
+	tm.clock = func() time.Duration { return *now }
+	tm.term, tm.epoch = tm, epoch
 	tm.ctx, tm.cancel = context.WithCancel(t.Context())
 	t.Cleanup(tm.cancel)
 	s := &session{node: "n1", token: epoch<<tokenBits | 1}
@@ -81,7 +81,7 @@
 // term must grant nothing, and a later one may.
 func TestTermThatBeginsAfterTheQuestionOfANewerOwnerGrantsNothing(t *testing.T) {
 	tm, s, _ := newGrantingTerm(t, 300)
-	tm.Candidate.term = nil
+	tm.term = nil
 	tm.settleGrants(256, 512)
 	if tm.applyMessage(s, &link.AgentMessage{Heartbeat: 1}) != nil {
 		t.Error("a lease was granted under an epoch below the asker's")
