--- a/prove/simul/leave_random_test.go
+++ b/prove/simul/leave_random_test.go
@@ -34,7 +34,7 @@
 		s.runDue(time.Now())
 		switch s.random.IntN(6) {
 		case 0:
-			s.leave(s.nodes[s.random.IntN(len(s.nodes))])
+			s.leaveAndReturn(s.nodes[s.random.IntN(len(s.nodes))])
 		case 1:
 			s.silenceStore(time.Duration(500+s.random.IntN(5000)) * time.Millisecond)
 		case 2, 3:
@@ -64,9 +64,9 @@
 	s.schedule(d, func() { s.setStoreFaults(store.Faults{}) })
 }
 
-// leave has a worker drain, deregister and end, its agent stop or go on, and both come
+// leaveAndReturn has a worker drain, deregister and end, its agent stop or go on, and both come
 // back some seconds later.
-func (s *simulation) leave(n *node) {
+func (s *simulation) leaveAndReturn(n *node) {
 	life, up := n.worker.Life()
 	if !up {
 		return
