--- a/stand/worker/client.go
+++ b/stand/worker/client.go
@@ -24,6 +24,9 @@
 	LateBy    time.Duration
 }
 
+// MaxDelay is the longest delay of a call that is carried out late.
+func (f Faults) MaxDelay() time.Duration { return f.LateBy * 13 / 10 }
+
 // Client is an agent's connection to its worker. It implements spar.Worker.
 type Client struct {
 	worker *Worker
@@ -50,6 +53,13 @@
 	c.faults = f
 }
 
+// Faults returns the faults in force.
+func (c *Client) Faults() Faults {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.faults
+}
+
 // isMuted draws whether a start or a stop is dropped.
 func (c *Client) isMuted() bool {
 	c.mu.Lock()
--- a/stand/worker/invariants.go
+++ b/stand/worker/invariants.go
@@ -34,18 +34,22 @@
 	losses             map[spar.TaskRef]int
 	startsAfterCrashes map[spar.TaskRef]int
 	// succeeded holds tasks with a successful end, acknowledged or not.
-	succeeded  map[spar.TaskRef]bool
+	succeeded map[spar.TaskRef]bool
+	// lastEnd is when a run of a task last ended or was lost.
+	lastEnd    map[spar.TaskRef]time.Time
 	startCount int
 	violations []string
 	// StartForbidden returns why a task must not be started on a node now, or "".
 	StartForbidden func(t spar.TaskRef, node string) string
+	// IsStanding, if set, reports whether a task is started again after each end.
+	IsStanding func(spar.TaskRef) bool
 	// MaxAttempts is how often a task may fail.
 	MaxAttempts int
 }
 
 // NewInvariantChecker returns a checker without a limit on attempts.
 func NewInvariantChecker() *InvariantChecker {
-	return &InvariantChecker{running: map[spar.TaskRef]map[string]int64{}, doneAcked: map[spar.TaskRef]time.Time{}, failedAcked: map[spar.TaskRef][]time.Time{}, lastStart: map[spar.TaskRef]time.Time{}, crashes: map[spar.TaskRef]int{}, failures: map[spar.TaskRef]int{}, losses: map[spar.TaskRef]int{}, startsAfterCrashes: map[spar.TaskRef]int{}, succeeded: map[spar.TaskRef]bool{}, MaxAttempts: 1 << 30}
+	return &InvariantChecker{running: map[spar.TaskRef]map[string]int64{}, doneAcked: map[spar.TaskRef]time.Time{}, failedAcked: map[spar.TaskRef][]time.Time{}, lastStart: map[spar.TaskRef]time.Time{}, crashes: map[spar.TaskRef]int{}, failures: map[spar.TaskRef]int{}, losses: map[spar.TaskRef]int{}, startsAfterCrashes: map[spar.TaskRef]int{}, succeeded: map[spar.TaskRef]bool{}, lastEnd: map[spar.TaskRef]time.Time{}, MaxAttempts: 1 << 30}
 }
 
 func (c *InvariantChecker) addViolation(format string, args ...any) {
@@ -90,6 +94,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.running[t], node)
+	c.lastEnd[t] = time.Now()
 	switch ending {
 	case spar.EndDone:
 		c.succeeded[t] = true
@@ -148,6 +153,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.IsStanding != nil && c.IsStanding(e.Task) {
+		return
+	}
 	switch e.Ending {
 	case spar.EndDone:
 		if _, ok := c.doneAcked[e.Task]; !ok {
@@ -184,6 +192,13 @@
 // not. It is for use in StartForbidden, which is called with the lock held.
 func (c *InvariantChecker) SucceededLocked(t spar.TaskRef) bool { return c.succeeded[t] }
 
+// LastEnd returns when a run of a task last ended, or zero.
+func (c *InvariantChecker) LastEnd(t spar.TaskRef) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastEnd[t]
+}
+
 // StartCount returns the number of starts so far.
 func (c *InvariantChecker) StartCount() int {
 	c.mu.Lock()
