Shard: an overdue standing task starts on workers with failures

A standing task waited for as long as the tasks of hopeless jobs failed on all workers with room for it: three failures within seconds bar a worker for 2 s, again with each further one. One that was suspected of a crash waited for ever where something failed every few seconds, since a trial required a worker without a recent failure, and the score halves only each 4 s.

A standing task without a run for 2 s is now overdue: it may start on workers that are avoided for failures, and its trial as well, after those without. The two other kinds of avoidance, after a refusal for want of room and beside an unknown run, stay. Batch tasks and the trials of others are held back as before, so what keeps crashing tasks apart does not change: the trial is still one of the step, on a quiet worker. A refusal of an unhealthy worker is repeated after 250 ms then.

Both tests failed before: no run after 3 s, and none 12 s after the crash.

--- a/shard/job.go
+++ b/shard/job.go
@@ -79,6 +79,9 @@
 	// notBefore is the earliest time of the next start. It delays a task after
 	// a refusal.
 	notBefore time.Time
+	// idleSince is since when the task has had no confirmed run: the end of the last one,
+	// or the arrival of its job or of this owner.
+	idleSince time.Time
 	// lastFailedNode is the node on which the task last failed, stalled or was
 	// refused as unhealthy.
 	lastFailedNode string
@@ -127,7 +130,7 @@
 	for i, s := range j.Steps {
 		st := &step{Step: s, job: j, occurrence: o, index: i, unfinished: s.Count}
 		for k := range s.Count {
-			st.tasks = append(st.tasks, &task{step: st, index: k})
+			st.tasks = append(st.tasks, &task{step: st, index: k, idleSince: due})
 		}
 		o.steps = append(o.steps, st)
 	}
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -12,6 +12,8 @@
 	*worker
 	allocation
 	mayBeDisturbed bool
+	// isFailing reports whether tasks have failed or been refused on the worker.
+	isFailing bool
 	// groupLoads and headrooms are computed when they are first needed; see
 	// headroom.
 	groupLoads []groupLoad
@@ -32,9 +34,12 @@
 // an equal difference in pressure.
 const slowPaceWeight = 3
 
+// lastResortPenalty exceeds all other terms of a score.
+const lastResortPenalty = 1000
+
 // candidates returns the workers on which tasks may be placed, ordered by node:
 // those with a listed session that are not draining, not in a closed failure
-// domain and not avoided after failures.
+// domain and not avoided. Those with failures are for tasks that are overdue.
 func (sc *Scheduler) candidates(now time.Time) []*candidate {
 	var out []*candidate
 	for _, w := range sc.workers {
@@ -42,7 +47,7 @@
 		if w.token == 0 || !w.listed || w.info.Draining || sc.closedDomains[w.info.Domain] || now.Before(w.avoidUntil) {
 			continue
 		}
-		out = append(out, &candidate{worker: w, allocation: w.allocation(now), mayBeDisturbed: w.mayBeDisturbed(now)})
+		out = append(out, &candidate{worker: w, allocation: w.allocation(now), mayBeDisturbed: w.mayBeDisturbed(now), isFailing: now.Before(w.failingUntil)})
 	}
 	slices.SortFunc(out, func(a, b *candidate) int { return strings.Compare(a.node, b.node) })
 	return out
@@ -62,6 +67,7 @@
 	var bestScore float64
 	minPace := sc.minPace(t.step, now)
 	requirement := t.step.requirement(minPace)
+	requirement.overdue = t.isOverdue(now)
 	if sc.hasShortage(requirement) {
 		return best, false
 	}
@@ -90,9 +96,9 @@
 }
 
 // canAccept reports whether a worker may take a task and is not kept free for a
-// trial.
+// trial. One with failures may take a task that is overdue.
 func (sc *Scheduler) canAccept(w *candidate, t *task, now time.Time) bool {
-	return sc.canRun(w, t, now) && (len(sc.suspects) == 0 || !w.isKeptFree(now))
+	return (!w.isFailing || t.isOverdue(now)) && sc.canRun(w, t, now) && (len(sc.suspects) == 0 || !w.isKeptFree(now))
 }
 
 // canRun reports whether a worker meets the requirements of a task and has room
@@ -153,6 +159,9 @@
 	s := t.step
 	totalCPU := float64(max(w.info.Size.CPUMilli, 1))
 	score := -w.failureScore
+	if w.isFailing {
+		score -= lastResortPenalty
+	}
 	if t.lastFailedNode == w.node {
 		score -= 2
 	}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -126,20 +126,26 @@
 			return suspectsPlaced
 		}
 	}
+	withoutWorker := false
 	for _, t := range s.tasks {
-		if !t.isWaiting(now) || t.isSuspect() {
+		if !t.isWaiting(now) || t.isSuspect() || withoutWorker && !t.isOverdue(now) {
 			continue
 		}
 		if len(sc.claimedRuns) >= maxClaimsPerCommit {
 			return false
 		}
 		p, ok := sc.bestPlacement(t, pool, now)
+		if !ok && s.Standing && !t.isOverdue(now) {
+			// A task that is overdue may still find one.
+			withoutWorker = true
+			continue
+		}
 		if !ok {
 			return false
 		}
 		sc.claimRun(t, p, t.lastRun+1, now)
 	}
-	return suspectsPlaced
+	return suspectsPlaced && !withoutWorker
 }
 
 // placeGang places all tasks of a gang under one run number, or none. It
--- a/shard/report.go
+++ b/shard/report.go
@@ -142,6 +142,9 @@
 		// Two such refusals in quick succession reach failureScoreLimit.
 		w.addFailure(now, 1.5)
 		t.lastFailedNode = w.node
+		if t.isOverdue(now) {
+			t.notBefore = now.Add(unhealthyBackoff)
+		}
 	case spar.StartNoTicket:
 		t.step.forgetPermit(w)
 	case spar.StartNoRoom:
@@ -156,6 +159,9 @@
 	// refusalBackoff delays a task after a refusal, so that an update of the
 	// worker's state can arrive before the next placement.
 	refusalBackoff = 20 * time.Millisecond
+	// unhealthyBackoff is the same for a task that is overdue, which may be placed on an
+	// unhealthy worker again.
+	unhealthyBackoff = 250 * time.Millisecond
 	// noRoomBackoff is how long a worker gets no new tasks after it refused one
 	// for lack of room.
 	noRoomBackoff = 150 * time.Millisecond
--- a/shard/restore.go
+++ b/shard/restore.go
@@ -15,6 +15,7 @@
 // present on their workers until the workers report, or until expires. A record that
 // cannot be loaded is left out; the errors name the records.
 func (sc *Scheduler) Restore(records []spar.Record, now, expires time.Time) []error {
+	sc.now = now
 	var out []error
 	load := func(prefixed bool, restore func(spar.Record) error) {
 		for _, r := range records {
@@ -129,7 +130,7 @@
 	if p.Last > t.lastRun || p.Last == t.lastRun && p.Saved != "" {
 		t.checkpoint = p.Saved
 	}
-	t.lastRun = max(t.lastRun, p.Last)
+	t.lastRun, t.idleSince = max(t.lastRun, p.Last), sc.now
 	if t.done {
 		for _, r := range t.runs {
 			r.worker.removeRun(r)
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -204,6 +204,9 @@
 // removeRun removes a run from its worker and its task.
 func (sc *Scheduler) removeRun(r *run) {
 	r.worker.removeRun(r)
+	if r.confirmed {
+		r.task.idleSince = sc.now
+	}
 	delete(sc.pendingStops, r)
 	delete(sc.pendingPaces, r)
 	if r.task.step.Fills {
--- a/shard/shortage.go
+++ b/shard/shortage.go
@@ -13,12 +13,14 @@
 	// minPace is the lowest pace that a fill would have accepted.
 	minPace int
 	size    spar.Size
+	// overdue reports whether workers with failures were tried.
+	overdue bool
 }
 
 // covers reports whether a step requires at least as much as the shortage.
 func (sh shortage) covers(o shortage) bool {
 	return sh.service == o.service && (sh.label == "" || sh.label == o.label) && sh.fills == o.fills &&
-		sh.image == o.image && sh.minPace <= o.minPace && sh.size.Fits(o.size)
+		sh.image == o.image && sh.minPace <= o.minPace && (sh.overdue || !o.overdue) && sh.size.Fits(o.size)
 }
 
 // requirement returns what a task of the step requires of a worker.
--- /dev/null
+++ b/shard/standing_test.go
@@ -0,0 +1,69 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/berylspar/spar"
+)
+
+// maxTimeToRun is how long a standing task may be without a run while nothing is disturbed.
+const maxTimeToRun = 3 * time.Second
+
+func (f *fleet) expectStandingRuns(n int) {
+	f.Helper()
+	if d := f.timeToRun(n); d > maxTimeToRun {
+		e := f.eventsNamed("standing task waits")
+		f.Errorf("%d standing tasks run again after %s: %s", n, d, e[len(e)-1].Reason)
+	}
+}
+
+// hopelessStep is a step of tasks that fail in jobs whose ID begins with bad.
+func hopelessStep() spar.Step {
+	return spar.Step{Count: 40, Size: spar.Size{CPUMilli: 250, MemoryMB: 500}, Estimate: time.Second}
+}
+
+// submitHopeless submits jobs for some time of which all tasks fail.
+func (f *fleet) submitHopeless(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.play(200 * time.Millisecond) {
+		f.submit(fmt.Sprintf("bad-%d", f.now.UnixNano()), "plans", hopelessStep())
+	}
+}
+
+// Tasks of hopeless jobs fail on all workers, which are avoided for their failures then. A
+// standing task that arrives in that time finds no worker as long as they go on.
+func TestStandingTaskStartsWhereOthersFail(t *testing.T) {
+	f := newFleet(t, 4)
+	f.submitHopeless(2 * time.Second)
+	f.submit("last1", "watches", halfWorkerStep(1))
+	f.submitHopeless(maxTimeToRun)
+	if n := f.standingRuns(); n != 1 {
+		t.Errorf("%d standing runs after %s", n, maxTimeToRun)
+	}
+}
+
+// A standing task is suspected of a crash, and on the worker that has room for it a task of
+// another job fails from time to time. The trial waits for ever for one without failures.
+func TestStandingSuspectStartsWhereOthersFail(t *testing.T) {
+	f := newFleet(t, 1)
+	failOnce := func(n int) {
+		f.submit(fmt.Sprintf("bad-%d", n), "plans", shortStep(1))
+		f.play(maxTimeToRun)
+	}
+	for n := range 4 {
+		failOnce(n)
+	}
+	f.add()
+	f.submit("last1", "watches", halfWorkerStep(1))
+	f.play(2 * fleetTick)
+	n := f.crashStanding()
+	n.size.CPUMilli = 100
+	f.begin(n)
+	for n := 4; n < 8; n++ {
+		failOnce(n)
+	}
+	if n := f.standingRuns(); n != 1 {
+		t.Errorf("%d standing runs %s after the crash was reported", n, 4*maxTimeToRun)
+	}
+}
--- a/shard/trial.go
+++ b/shard/trial.go
@@ -190,7 +190,7 @@
 			continue
 		}
 		others = others || !h.hasCrashedAloneOn(w.node)
-		if (len(w.runs) == 0 || !needsEmpty) && !w.hasTrial(now) && w.failureScore < 1 && sc.canRun(w, t, now) {
+		if (len(w.runs) == 0 || !needsEmpty) && !w.hasTrial(now) && (w.failureScore < 1 || t.isOverdue(now)) && sc.canRun(w, t, now) {
 			out = append(out, w)
 		}
 	}
@@ -201,9 +201,12 @@
 }
 
 // preferredForTrial reports whether a trial tells more or does less harm on w than
-// on o. A quiet worker comes first, then an empty one, one of a node without a crash
-// of the task, and one that was reserved before.
+// on o. One without failures comes first, then a quiet worker, an empty one, one of a node
+// without a crash of the task, and one that was reserved before.
 func (w *candidate) preferredForTrial(o *candidate, h *crashHistory, now time.Time) bool {
+	if a, b := w.failureScore < 1, o.failureScore < 1; a != b {
+		return a
+	}
 	if a, b := w.isQuiet(now), o.isQuiet(now); a != b {
 		return a
 	}
--- a/shard/wait_reason.go
+++ b/shard/wait_reason.go
@@ -135,7 +135,7 @@
 		return draining
 	case sc.closedDomains[w.info.Domain]:
 		return domainClosed
-	case now.Before(w.avoidUntil):
+	case now.Before(w.avoidUntil), now.Before(w.failingUntil) && !t.isOverdue(now):
 		return avoided
 	case w.isKeptFree(now) && len(sc.suspects) > 0:
 		return keptForTrial
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -30,8 +30,9 @@
 	// failureScore grows with failures and refusals and decays over time.
 	failureScore   float64
 	failureScoreAt time.Time
-	// avoidUntil is the time until which no task is placed on the worker.
-	avoidUntil time.Time
+	// failingUntil is the time until which only a task that is overdue is placed on the
+	// worker, and avoidUntil until which none is.
+	failingUntil, avoidUntil time.Time
 	// reservedUntil is the time until which only a trial may start on the worker.
 	reservedUntil time.Time
 	// listedAt is when the agent last sent a list of runs, or the changes to it.
@@ -177,7 +178,7 @@
 	w.decayFailureScore(now)
 	w.failureScore += weight
 	if w.failureScore >= failureScoreLimit {
-		w.avoidUntil = now.Add(avoidTime)
+		w.failingUntil = now.Add(avoidTime)
 	}
 }
 
