Shard: a standing task may return to the worker that it crashed alone

A standing task never ran again although a worker was empty: it had been lost there alone, just after its start, and a suspect does not return to a worker that it has crashed alone while its service has others. These were full, or had as many tasks of the step as it allows, and stayed so. With as many workers as antiAffinity needs, one crash at the wrong moment was enough.

For a standing task that is overdue only those others count that could take it. It then goes back when no other worker has room, in a trial.

The test failed before: nothing ran after a minute.

--- a/shard/standing_test.go
+++ b/shard/standing_test.go
@@ -67,3 +67,19 @@
 		t.Errorf("%d standing runs %s after the crash was reported", n, 4*maxTimeToRun)
 	}
 }
+
+// A standing task was lost alone, just after its start, in the crash of the only worker that
+// has room for it. It waits for another one for ever, since there are others, all of them
+// full.
+func TestStandingTaskReturnsToWorkerThatItCrashedAlone(t *testing.T) {
+	f := newFleet(t, 1)
+	f.submit("last0", "watches", halfWorkerStep(2))
+	f.play(time.Second)
+	f.add()
+	f.submit("last1", "watches", halfWorkerStep(1))
+	f.play(2 * fleetTick)
+	n := f.nodes[1]
+	f.crash(n)
+	f.begin(n)
+	f.expectStandingRuns(3)
+}
--- a/shard/trial.go
+++ b/shard/trial.go
@@ -179,7 +179,8 @@
 }
 
 // trialWorkers returns the workers that could take a suspect. Workers that it has
-// crashed alone are left out if there are others: the cause could be the worker.
+// crashed alone are left out if there are others, or, for a task that is overdue, others
+// with room: the cause could be the worker.
 func (sc *Scheduler) trialWorkers(t *task, pool []*candidate, now time.Time) []*candidate {
 	h := t.history()
 	needsEmpty := h.countAlone() > 0 && now.Sub(h.suspectedAt) < emptyWorkerWait
@@ -189,7 +190,7 @@
 		if w.info.Service != t.step.job.policy.Service || !w.hasLabel(t.step) {
 			continue
 		}
-		others = others || !h.hasCrashedAloneOn(w.node)
+		others = others || !h.hasCrashedAloneOn(w.node) && (!t.isOverdue(now) || sc.canRun(w, t, now))
 		if (len(w.runs) == 0 || !needsEmpty) && !w.hasTrial(now) && (w.failureScore < 1 || t.isOverdue(now)) && sc.canRun(w, t, now) {
 			out = append(out, w)
 		}
