Shard: an overdue standing task starts between the trials of others

A standing task that nothing was known against waited until the trials of other jobs were done. Its worker was the only one with room, and each trial there kept it free for the next one: after a crash with 60 tasks that had just been started, for over 6 s. The standing task comes first in the queue, but a worker that is kept free takes no task but suspects.

A standing task that is overdue may now start on a worker that is kept free for a trial to come, after all others.

The test failed before: the task ran after 6.65 s.

--- a/shard/advice.go
+++ b/shard/advice.go
@@ -82,7 +82,7 @@
 	for _, w := range pool {
 		p, known := s.advice.permits[w.info.Life.ID]
 		barred := known && p.ticket == ""
-		if len(ids) == maxWorkersPerRequest || barred || w.isFailing && !s.Standing || s.mayStartOn(w.worker, now) || w.info.Service != s.job.policy.Service || !w.allowsStep(s) {
+		if len(ids) == maxWorkersPerRequest || barred || now.Before(w.failingUntil) && !s.Standing || s.mayStartOn(w.worker, now) || w.info.Service != s.job.policy.Service || !w.allowsStep(s) {
 			continue
 		}
 		ids = append(ids, w.info.Life.ID)
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -12,8 +12,10 @@
 	*worker
 	allocation
 	mayBeDisturbed bool
-	// isFailing reports whether tasks have failed or been refused on the worker.
-	isFailing bool
+	// isLastResort reports whether the worker is kept free for a trial to come, or
+	// several tasks have just failed there or were refused by it. Only a task that is
+	// overdue may start there then.
+	isLastResort bool
 	// groupLoads and headrooms are computed when they are first needed; see
 	// headroom.
 	groupLoads []groupLoad
@@ -39,7 +41,7 @@
 
 // candidates returns the workers on which tasks may be placed, ordered by node:
 // those with a listed session that are not draining, not in a closed failure
-// domain and not avoided. Those with failures are for tasks that are overdue.
+// domain and not avoided.
 func (sc *Scheduler) candidates(now time.Time) []*candidate {
 	var out []*candidate
 	for _, w := range sc.workers {
@@ -47,7 +49,7 @@
 		if w.token == 0 || !w.listed || w.info.Draining || sc.closedDomains[w.info.Domain] || now.Before(w.avoidUntil) {
 			continue
 		}
-		out = append(out, &candidate{worker: w, allocation: w.allocation(now), mayBeDisturbed: w.mayBeDisturbed(now), isFailing: now.Before(w.failingUntil)})
+		out = append(out, &candidate{worker: w, allocation: w.allocation(now), mayBeDisturbed: w.mayBeDisturbed(now), isLastResort: now.Before(w.failingUntil) || sc.isReserved(w, now)})
 	}
 	slices.SortFunc(out, func(a, b *candidate) int { return strings.Compare(a.node, b.node) })
 	return out
@@ -95,10 +97,10 @@
 	return best, best.candidate != nil
 }
 
-// canAccept reports whether a worker may take a task and is not kept free for a
-// trial. One with failures may take a task that is overdue.
+// canAccept reports whether a worker may take a task beside those that run there and is
+// not kept free.
 func (sc *Scheduler) canAccept(w *candidate, t *task, now time.Time) bool {
-	return (!w.isFailing || t.isOverdue(now)) && sc.canRun(w, t, now) && (len(sc.suspects) == 0 || !w.isKeptFree(now))
+	return (!w.isLastResort || t.isOverdue(now)) && sc.canRun(w, t, now) && (len(sc.suspects) == 0 || !w.hasTrial(now))
 }
 
 // canRun reports whether a worker meets the requirements of a task and has room
@@ -159,7 +161,7 @@
 	s := t.step
 	totalCPU := float64(max(w.info.Size.CPUMilli, 1))
 	score := -w.failureScore
-	if w.isFailing {
+	if w.isLastResort {
 		score -= lastResortPenalty
 	}
 	if t.lastFailedNode == w.node {
--- a/shard/shortage.go
+++ b/shard/shortage.go
@@ -13,7 +13,7 @@
 	// minPace is the lowest pace that a fill would have accepted.
 	minPace int
 	size    spar.Size
-	// overdue reports whether workers with failures were tried.
+	// overdue reports whether the workers were tried that are a last resort.
 	overdue bool
 }
 
--- a/shard/standing_test.go
+++ b/shard/standing_test.go
@@ -83,3 +83,22 @@
 	f.begin(n)
 	f.expectStandingRuns(3)
 }
+
+// Many tasks were lost in the crash of the only worker with room, and start there again one
+// after another, each as a trial for which the worker is kept free. A standing task of
+// another job waits until the last one is done.
+func TestStandingTaskStartsBetweenTrialsOfOthers(t *testing.T) {
+	f := newFleet(t, 1)
+	f.submit("last0", "watches", halfWorkerStep(2))
+	f.play(time.Second)
+	f.add()
+	f.submit("last1", "watches", halfWorkerStep(1))
+	f.play(time.Second)
+	f.submit("j1", "plans", shortStep(30))
+	f.submit("j2", "plans", shortStep(30))
+	f.play(2 * fleetTick)
+	n := f.nodes[1]
+	f.crash(n)
+	f.begin(n)
+	f.expectStandingRuns(3)
+}
--- a/shard/trial.go
+++ b/shard/trial.go
@@ -56,9 +56,9 @@
 	return true
 }
 
-// isKeptFree reports whether only a trial may start on the worker.
-func (w *worker) isKeptFree(now time.Time) bool {
-	return now.Before(w.reservedUntil) || w.hasTrial(now)
+// isReserved reports whether a worker is kept free for a trial to come.
+func (sc *Scheduler) isReserved(w *worker, now time.Time) bool {
+	return len(sc.suspects) > 0 && now.Before(w.reservedUntil)
 }
 
 // trialSlots counts the trials that may still begin: of any suspect, and of tasks
@@ -168,12 +168,11 @@
 	if likely {
 		sc.trials.likely--
 	}
+	// If the trial begins now, the next suspect follows as soon as it is over.
+	best.reservedUntil, best.isLastResort = now.Add(reservationTime), true
 	if !best.isQuiet(now) {
-		best.reservedUntil = now.Add(reservationTime)
 		return false
 	}
-	// The next suspect follows as soon as this trial is over.
-	best.reservedUntil = now.Add(reservationTime)
 	sc.claimRun(t, best, t.lastRun+1, now)
 	return true
 }
