Shard: overdue standing tasks wait for the trial of their step, not its clearing

Standing tasks waited for 4 to 10 s, beside workers that could take them, because another task of their step had been lost in a crash alone, just after its start: that one waited 3 s for an empty worker, its trial took up to 0.6 s, and the others were held until it was cleared, up to 1.6 s later. With several such tasks these added up.

A task that is overdue, after 2 s, no longer waits for an empty worker, and the others of its step that are overdue start as soon as each task that has crashed a worker alone runs and has outlived its trial there, as its worker has listed. So a step whose program crashes workers still has one down at a time: none of the others starts before the trial has ended well. What is given up is that the next crash of a standing task may take other runs along one second earlier than before, if there is no empty worker.

--- a/shard/plan.go
+++ b/shard/plan.go
@@ -119,16 +119,18 @@
 	if s.Gang {
 		return sc.placeGang(s, pool, now)
 	}
-	suspectsPlaced := true
+	suspectsPlaced, onlyOverdue := true, false
 	if len(sc.suspects) > 0 {
 		suspectsPlaced = sc.placeSuspects(s, pool, now)
 		if s.hasLikelyCause() {
-			return suspectsPlaced
+			if !s.Standing || !s.likelyCausesRun() {
+				return suspectsPlaced
+			}
+			onlyOverdue = true
 		}
 	}
-	withoutWorker := false
 	for _, t := range s.tasks {
-		if !t.isWaiting(now) || t.isSuspect() || withoutWorker && !t.isOverdue(now) {
+		if !t.isWaiting(now) || t.isSuspect() || onlyOverdue && !t.isOverdue(now) {
 			continue
 		}
 		if len(sc.claimedRuns) >= maxClaimsPerCommit {
@@ -137,7 +139,7 @@
 		p, ok := sc.bestPlacement(t, pool, now)
 		if !ok && s.Standing && !t.isOverdue(now) {
 			// A task that is overdue may still find one.
-			withoutWorker = true
+			onlyOverdue = true
 			continue
 		}
 		if !ok {
@@ -145,7 +147,7 @@
 		}
 		sc.claimRun(t, p, t.lastRun+1, now)
 	}
-	return suspectsPlaced && !withoutWorker
+	return suspectsPlaced && !onlyOverdue
 }
 
 // placeGang places all tasks of a gang under one run number, or none. It
--- a/shard/trial.go
+++ b/shard/trial.go
@@ -116,11 +116,20 @@
 }
 
 // hasLikelyCause reports whether a task of the step has crashed a worker alone. The
-// others run the same program, so they wait until its trial is over.
+// others run the same program, so they wait until it is cleared, and those that are
+// overdue until its trial is over.
 func (s *step) hasLikelyCause() bool {
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && t.countAlone() > 0 })
 }
 
+// likelyCausesRun reports whether all tasks of the step that have crashed a worker alone
+// have outlived their trials.
+func (s *step) likelyCausesRun() bool {
+	return !slices.ContainsFunc(s.tasks, func(t *task) bool {
+		return !t.done && t.countAlone() > 0 && !slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker.token != 0 && r.age() >= t.trialTime() })
+	})
+}
+
 // hasTrial reports whether a task of the step is on trial, or was on one when its
 // worker was last heard of. After a crash with a task alone, a trial is over only
 // when the worker has listed the run after it.
@@ -182,7 +191,7 @@
 // with room: the cause could be the worker.
 func (sc *Scheduler) trialWorkers(t *task, pool []*candidate, now time.Time) []*candidate {
 	h := t.history()
-	needsEmpty := h.countAlone() > 0 && now.Sub(h.suspectedAt) < emptyWorkerWait
+	needsEmpty := h.countAlone() > 0 && now.Sub(h.suspectedAt) < emptyWorkerWait && !t.isOverdue(now)
 	var out []*candidate
 	others := false
 	for _, w := range pool {
