Shard: the trial of an overdue standing task needs no slot

A standing task that had been lost alone in a crash waited for the one slot for such trials of a fleet of up to 23 workers, which a task of another job held: its trial had crashed a worker that stayed away, and takes the slot until the leases there end, after 5 s, or 11 s under a new owner.

A standing task that is overdue takes a slot without waiting for one. A step has one trial at a time as before, so the number of trials beyond the limit is at most that of the standing steps, and a job is given up after the same number of crashes.

The test failed before: the task ran after 4.95 s.

--- a/shard/standing_test.go
+++ b/shard/standing_test.go
@@ -121,3 +121,21 @@
 	f.begin(n)
 	f.expectStandingRuns(17)
 }
+
+// A task of another job crashes its worker alone and, in its trial, the next one, which
+// stays away. Until the leases there end it takes the one slot for such trials, also from a
+// standing task that was lost alone in a crash.
+func TestStandingTaskNeedsNoTrialSlot(t *testing.T) {
+	f := newFleet(t, 4)
+	f.submit("j1", "plans", shortStep(1))
+	f.play(fleetTick)
+	n := f.crashNewest()
+	f.begin(n)
+	f.play(2 * fleetTick)
+	f.crashNewest()
+	f.submit("last1", "watches", halfWorkerStep(1))
+	f.play(2 * fleetTick)
+	n = f.crashNewest()
+	f.begin(n)
+	f.expectStandingRuns(1)
+}
--- a/shard/trial.go
+++ b/shard/trial.go
@@ -154,7 +154,7 @@
 // reserves one.
 func (sc *Scheduler) placeTrial(t *task, pool []*candidate, now time.Time) bool {
 	likely := t.history().countAlone() > 0
-	if sc.trials.any <= 0 || likely && sc.trials.likely <= 0 {
+	if !t.isOverdue(now) && (sc.trials.any <= 0 || likely && sc.trials.likely <= 0) {
 		return false
 	}
 	var best placement
