Shard: an outlived trial on a silent worker does not hold up its step

The suspects of a step waited for the leases of a worker out of touch, 5 s and up to 11 s under a new owner, if a task that was still a suspect had run there, however long. A suspect whose history has a late crash stays one for up to 21 s.

Only a run that had not outlived its trial when its worker last listed it can have crashed the worker by its start. The same limit already holds for tasks that have crashed a worker alone. A run that an earlier owner has started and that is not listed since counts as not outlived, as before.

The test failed before: the task ran after 5 s.

--- a/shard/standing_test.go
+++ b/shard/standing_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/link"
 )
 
 // maxTimeToRun is how long a standing task may be without a run while nothing is disturbed.
@@ -139,3 +141,27 @@
 	f.begin(n)
 	f.expectStandingRuns(1)
 }
+
+// A suspect has outlived its trial when its worker falls silent. Another task of its step
+// that was lost in a crash waits until the leases there end.
+func TestStandingTaskDoesNotWaitForOutlivedTrial(t *testing.T) {
+	f := newFleet(t, 4)
+	step := halfWorkerStep(2)
+	step.MaxPerWorker = 1
+	f.submit("last1", "watches", step)
+	f.play(2 * fleetTick)
+	n := f.crashNewest()
+	n.lifeEnds[0].Runs = append(n.lifeEnds[0].Runs, link.LostRun{Task: spar.TaskRef{Job: "other"}, Run: 1, Age: fleetTick})
+	f.begin(n)
+	f.play(600 * time.Millisecond)
+	newest := f.newest()
+	other := f.nodes[slices.IndexFunc(f.nodes, func(n *fleetNode) bool { return n != newest && len(n.runs) > 0 })]
+	for r := range other.runs {
+		f.end(other, r, spar.EndFailed)
+	}
+	f.play(2 * fleetTick)
+	f.silence(newest)
+	n = f.crashNewest()
+	f.begin(n)
+	f.expectStandingRuns(1)
+}
--- a/shard/trial.go
+++ b/shard/trial.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		for _, r := range t.runs {
-			if r.isOnTrial(now) || r.worker.token == 0 || likely && r.age() < h.trialTime() {
+			if r.isOnTrial(now) || (likely || r.worker.token == 0) && r.age() < h.trialTime() {
 				return true
 			}
 		}
