Shard: the outcome of an order is overdue from when it was sent

After a commit that the store took more than 6 s for, the owner closed the sessions of all workers with orders of it, just after these were sent: the time for the outcome counted from the claim. The orders were lost with the sessions, or their runs found by the next ones, and the tasks waited anew. The time now counts from the order.

--- a/shard/commit.go
+++ b/shard/commit.go
@@ -163,7 +163,7 @@
 	}
 	for _, r := range sc.orderClaims(c.claimedRuns, mayOrder) {
 		w, t := r.worker, r.task
-		r.ordered = true
+		r.ordered, r.started = true, sc.now
 		messageFor(out, w).Starts = append(messageFor(out, w).Starts, spar.StartOrder{
 			Task: t.ref(), Run: r.number, Spec: t.step.job.Spec, Checkpoint: t.checkpoint,
 			Ticket: t.step.advice.permits[w.info.Life.ID].ticket, Room: w.room,
--- a/shard/job.go
+++ b/shard/job.go
@@ -102,7 +102,8 @@
 	// stopping reports whether a stop was ordered.
 	stopping bool
 	// pace is the ordered share of full speed, in percent.
-	pace    int
+	pace int
+	// started is when the run was claimed, ordered and confirmed, whichever was last.
 	started time.Time
 	percent int
 	// idle is the time at work since percent last changed; see countIdleTime.
--- a/shard/wait_reason.go
+++ b/shard/wait_reason.go
@@ -116,7 +116,7 @@
 	case !r.ordered:
 		return "not stored yet, claimed " + rounded(now.Sub(r.started)) + " ago"
 	case !r.confirmed:
-		return "not answered, claimed " + rounded(now.Sub(r.started)) + " ago"
+		return "not answered, ordered " + rounded(now.Sub(r.started)) + " ago"
 	}
 	return "runs"
 }
