Shard: a new owner moves tasks off a worker that is already leaving

Standing tasks stayed on a leaving worker until it was gone, and were down then, if its owner changed while it drained: runs are stopped when the worker reports that it leaves, and an agent reports its state again only when that changes. An owner that first hears of the worker when it connects, or whose stops were lost with a session, never stopped them.

The runs that can continue elsewhere are now also stopped when a session of a leaving worker has listed them. A run that is being stopped already is not stopped twice. The test failed before: no stop was ordered.

--- a/shard/report.go
+++ b/shard/report.go
@@ -185,6 +185,10 @@
 		sc.removeRun(r)
 	}
 	w.listed = true
+	if w.info.Draining {
+		// An earlier owner or session may not have stopped them.
+		sc.stopMovableRuns(w)
+	}
 	if w.nameReused {
 		// From now on the worker rejects orders to its previous life.
 		w.nameReused = false
