--- a/shard/trial.go
+++ b/shard/trial.go
@@ -56,9 +56,9 @@
 	return true
 }
 
-// isKeptFree reports whether only a trial may start on the worker.
-func (w *worker) isKeptFree(now time.Time) bool {
-	return now.Before(w.reservedUntil) || w.hasTrial(now)
+// isReserved reports whether a worker is kept free for a trial to come.
+func (sc *Scheduler) isReserved(w *worker, now time.Time) bool {
+	return len(sc.suspects) > 0 && now.Before(w.reservedUntil)
 }
 
 // trialSlots counts the trials that may still begin: of any suspect, and of tasks
@@ -116,11 +116,20 @@
 }
 
 // hasLikelyCause reports whether a task of the step has crashed a worker alone. The
-// others run the same program, so they wait until its trial is over.
+// others run the same program, so they wait until it is cleared, and those that are
+// overdue until its trial is over.
 func (s *step) hasLikelyCause() bool {
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && t.countAlone() > 0 })
 }
 
+// likelyCausesRun reports whether all tasks of the step that have crashed a worker alone
+// have outlived their trials.
+func (s *step) likelyCausesRun() bool {
+	return !slices.ContainsFunc(s.tasks, func(t *task) bool {
+		return !t.done && t.countAlone() > 0 && !slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker.token != 0 && r.age() >= t.trialTime() })
+	})
+}
+
 // hasTrial reports whether a task of the step is on trial, or was on one when its
 // worker was last heard of. After a crash with a task alone, a trial is over only
 // when the worker has listed the run after it.
@@ -132,7 +141,7 @@
 			continue
 		}
 		for _, r := range t.runs {
-			if r.isOnTrial(now) || r.worker.token == 0 || likely && r.age() < h.trialTime() {
+			if r.isOnTrial(now) || (likely || r.worker.token == 0) && r.age() < h.trialTime() {
 				return true
 			}
 		}
@@ -145,7 +154,7 @@
 // reserves one.
 func (sc *Scheduler) placeTrial(t *task, pool []*candidate, now time.Time) bool {
 	likely := t.history().countAlone() > 0
-	if sc.trials.any <= 0 || likely && sc.trials.likely <= 0 {
+	if !t.isOverdue(now) && (sc.trials.any <= 0 || likely && sc.trials.likely <= 0) {
 		return false
 	}
 	var best placement
@@ -168,29 +177,29 @@
 	if likely {
 		sc.trials.likely--
 	}
+	// If the trial begins now, the next suspect follows as soon as it is over.
+	best.reservedUntil, best.isLastResort = now.Add(reservationTime), true
 	if !best.isQuiet(now) {
-		best.reservedUntil = now.Add(reservationTime)
 		return false
 	}
-	// The next suspect follows as soon as this trial is over.
-	best.reservedUntil = now.Add(reservationTime)
 	sc.claimRun(t, best, t.lastRun+1, now)
 	return true
 }
 
 // trialWorkers returns the workers that could take a suspect. Workers that it has
-// crashed alone are left out if there are others: the cause could be the worker.
+// crashed alone are left out if there are others, or, for a task that is overdue, others
+// with room: the cause could be the worker.
 func (sc *Scheduler) trialWorkers(t *task, pool []*candidate, now time.Time) []*candidate {
 	h := t.history()
-	needsEmpty := h.countAlone() > 0 && now.Sub(h.suspectedAt) < emptyWorkerWait
+	needsEmpty := h.countAlone() > 0 && now.Sub(h.suspectedAt) < emptyWorkerWait && !t.isOverdue(now)
 	var out []*candidate
 	others := false
 	for _, w := range pool {
 		if w.info.Service != t.step.job.policy.Service || !w.hasLabel(t.step) {
 			continue
 		}
-		others = others || !h.hasCrashedAloneOn(w.node)
-		if (len(w.runs) == 0 || !needsEmpty) && !w.hasTrial(now) && w.failureScore < 1 && sc.canRun(w, t, now) {
+		others = others || !h.hasCrashedAloneOn(w.node) && (!t.isOverdue(now) || sc.canRun(w, t, now))
+		if (len(w.runs) == 0 || !needsEmpty) && !w.hasTrial(now) && (w.failureScore < 1 || t.isOverdue(now)) && sc.canRun(w, t, now) {
 			out = append(out, w)
 		}
 	}
@@ -201,9 +210,12 @@
 }
 
 // preferredForTrial reports whether a trial tells more or does less harm on w than
-// on o. A quiet worker comes first, then an empty one, one of a node without a crash
-// of the task, and one that was reserved before.
+// on o. One without failures comes first, then a quiet worker, an empty one, one of a node
+// without a crash of the task, and one that was reserved before.
 func (w *candidate) preferredForTrial(o *candidate, h *crashHistory, now time.Time) bool {
+	if a, b := w.failureScore < 1, o.failureScore < 1; a != b {
+		return a
+	}
 	if a, b := w.isQuiet(now), o.isQuiet(now); a != b {
 		return a
 	}
--- a/shard/wait_reason.go
+++ b/shard/wait_reason.go
@@ -116,7 +116,7 @@
 	case !r.ordered:
 		return "not stored yet, claimed " + rounded(now.Sub(r.started)) + " ago"
 	case !r.confirmed:
-		return "not answered, claimed " + rounded(now.Sub(r.started)) + " ago"
+		return "not answered, ordered " + rounded(now.Sub(r.started)) + " ago"
 	}
 	return "runs"
 }
@@ -135,9 +135,9 @@
 		return draining
 	case sc.closedDomains[w.info.Domain]:
 		return domainClosed
-	case now.Before(w.avoidUntil):
+	case now.Before(w.avoidUntil), now.Before(w.failingUntil) && !t.isOverdue(now):
 		return avoided
-	case w.isKeptFree(now) && len(sc.suspects) > 0:
+	case len(sc.suspects) > 0 && w.hasTrial(now), sc.isReserved(w, now) && !t.isOverdue(now):
 		return keptForTrial
 	case !w.allowsStep(s):
 		return tooManyOfStep
