Owner: a new owner asks the other entries for departures

Standing tasks of a departed worker waited for a lease of 5.25 s when the entry that was killed came back at once and became the owner: it had been told of the departure before it was killed, and the others were not asked.

--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -147,6 +147,7 @@
 	})
 	r.POST("/records", c.storeForPeer)
 	r.POST(grantsPath, c.answerGrants)
+	r.GET(departuresPath, c.answerDepartures)
 	r.GET("/queues/{name}", func(rc *fasthttp.RequestCtx) {
 		c.answerQuery(rc, func(t *term) (reply, error) { return t.waitingIn(rc.UserValue("name").(string)) })
 	})
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -61,6 +61,8 @@
 	scheduler *shard.Scheduler
 	// stateMu guards scheduler, sessions, sessionCount and departures.
 	stateMu sync.Mutex
+	// entries are the records of the owner topic at the takeover.
+	entries []spar.Record
 	// appendSeq is the sequence number of the last append to the progress topic.
 	appendSeq    int64
 	sessions     map[string]*session
@@ -134,7 +136,7 @@
 	if !t.takeOver(ctx) {
 		return
 	}
-	following, dropping, settling := t.jobs.Run(ctx), t.dropExpired(ctx), t.settlePredecessors(ctx)
+	following, dropping, settling, collecting := t.jobs.Run(ctx), t.dropExpired(ctx), t.settlePredecessors(ctx), t.collectDepartures(ctx, t.entries)
 	t.loop(ctx)
 	if err := <-following; err != nil {
 		t.Warn("following the jobs topic failed", "err", err)
@@ -145,6 +147,9 @@
 	if err := <-settling; err != nil {
 		t.Warn("list of earlier owners is no longer stored", "epoch", t.epoch, "err", err)
 	}
+	if err := <-collecting; err != nil {
+		t.Warn("collecting departures failed", "err", err)
+	}
 }
 
 // takeOver fences older owners, restores the stored state and publishes the
@@ -159,7 +164,8 @@
 		return false
 	}
 	jobs, state := batches[0], batches[1]
-	t.predecessors.unsettled = t.findPredecessors(batches[2].Records, state.Records)
+	t.entries = batches[2].Records
+	t.predecessors.unsettled = t.findPredecessors(t.entries, state.Records)
 	t.settleOwn()
 	now := time.Now()
 	t.stateMu.Lock()
