--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -76,16 +76,6 @@
 	onEvent func(Event)
 }
 
-// Event is a decision that the owner logs and counts. The metric that counts it
-// is named after Name, so the texts of Name must not change.
-type Event struct {
-	Name   string
-	Task   string
-	Run    int64
-	Node   string
-	Reason string
-}
-
 // NewScheduler returns the scheduler of an empty shard. It calls onEvent for
 // each decision.
 func NewScheduler(l Limits, onEvent func(Event)) *Scheduler {
