Shard: standing tasks do not wait for a trial on a worker that is gone

After a takeover a whole step did not run for 11 s, beside workers that could take it: one of its tasks had crashed a worker alone, and its trial was on a worker that was gone. The others of the step wait for that trial, and whatever it came to was not known until the leases of an earlier owner had ended. The suspects of a step without such a task waited in the same way.

Once the worker has been out of touch for 2 s, an overdue standing task of the step no longer waits for it. One of them starts alone, as a trial does; the others follow when it, or any other task of the step, has outlived its start on a worker in touch.

--- a/shard/plan.go
+++ b/shard/plan.go
@@ -123,7 +123,7 @@
 	if len(sc.suspects) > 0 {
 		suspectsPlaced = sc.placeSuspects(s, pool, now)
 		if s.hasLikelyCause() {
-			if !s.Standing || !s.likelyCausesRun() {
+			if !s.Standing || !s.mayStartBesideCauses(now) {
 				return suspectsPlaced
 			}
 			onlyOverdue = true
--- a/shard/restore.go
+++ b/shard/restore.go
@@ -151,7 +151,7 @@
 	life := spar.Life{ID: p.Life, Born: p.Born}
 	w := sc.workers[p.Node]
 	if w == nil {
-		w = &worker{node: p.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, leasesExpire: expires}
+		w = &worker{node: p.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, leasesExpire: expires, silentSince: sc.now}
 		sc.workers[p.Node] = w
 	}
 	if w.info.Life != life && w.info.Life.ID != life.ID {
@@ -159,7 +159,7 @@
 			return
 		}
 		sc.endLife(w, "worker in a new life")
-		w = &worker{node: p.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, leasesExpire: expires}
+		w = &worker{node: p.Node, info: spar.WorkerInfo{Life: life}, runs: map[*run]bool{}, leasesExpire: expires, silentSince: sc.now}
 		sc.workers[p.Node] = w
 	}
 	w.info.Life.Born = max(w.info.Life.Born, life.Born)
--- a/shard/session.go
+++ b/shard/session.go
@@ -88,7 +88,7 @@
 // leases have expired.
 func (sc *Scheduler) Disconnect(node string, token int64) {
 	if w := sc.workers[node]; w != nil && w.token == token {
-		w.token, w.listed = 0, false
+		w.token, w.listed, w.silentSince = 0, false, sc.now
 	}
 }
 
--- a/shard/trial.go
+++ b/shard/trial.go
@@ -93,8 +93,9 @@
 // were placed.
 func (sc *Scheduler) placeSuspects(s *step, pool []*candidate, now time.Time) bool {
 	var waiting []*task
+	probing := s.needsProbe(now)
 	for _, t := range s.tasks {
-		if t.isWaiting(now) && t.history().isSuspect() {
+		if t.isWaiting(now) && (t.history().isSuspect() || probing && t.isOverdue(now)) {
 			waiting = append(waiting, t)
 		}
 	}
@@ -104,7 +105,7 @@
 	if len(waiting) == 0 {
 		return true
 	}
-	if s.hasTrial(now) {
+	if s.hasTrial(waiting[0].isOverdue(now), now) {
 		return false
 	}
 	return sc.placeTrial(waiting[0], pool, now) && len(waiting) == 1
@@ -122,25 +123,24 @@
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && t.countAlone() > 0 })
 }
 
-// likelyCausesRun reports whether all tasks of the step that have crashed a worker alone
-// have outlived their trials.
-func (s *step) likelyCausesRun() bool {
-	return !slices.ContainsFunc(s.tasks, func(t *task) bool {
-		return !t.done && t.countAlone() > 0 && !slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker.token != 0 && r.age() >= t.trialTime() })
-	})
-}
-
 // hasTrial reports whether a task of the step is on trial, or was on one when its
 // worker was last heard of. After a crash with a task alone, a trial is over only
-// when the worker has listed the run after it.
-func (s *step) hasTrial(now time.Time) bool {
+// when the worker has listed the run after it. For a task that is overdue the runs on
+// workers that have long been silent do not count.
+func (s *step) hasTrial(overdue bool, now time.Time) bool {
 	likely := s.hasLikelyCause()
 	for _, t := range s.tasks {
 		h := t.history()
-		if !h.isSuspect() {
-			continue
-		}
 		for _, r := range t.runs {
+			if overdue && r.worker.isLongSilent(now) {
+				continue
+			}
+			if !h.isSuspect() {
+				if overdue && likely && r.age() < startingAge {
+					return true
+				}
+				continue
+			}
 			if r.isOnTrial(now) || (likely || r.worker.token == 0) && r.age() < h.trialTime() {
 				return true
 			}
--- a/shard/wait_reason.go
+++ b/shard/wait_reason.go
@@ -95,7 +95,7 @@
 	case len(t.runs) > 0:
 	case t.history().isSuspect():
 		out = append(out, "suspect: "+t.history().String())
-		if s.hasTrial(now) {
+		if s.hasTrial(t.isOverdue(now), now) {
 			out = append(out, "a task of its step is on trial")
 		}
 	case s.hasLikelyCause():
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -14,6 +14,8 @@
 	info spar.WorkerInfo
 	// token is the session's fencing token; 0 without a session.
 	token int64
+	// silentSince is when the last session ended, or this owner's term began.
+	silentSince time.Time
 	// listed reports whether the session has reported all runs on the worker.
 	listed bool
 	// leasesExpire is when all leases on the worker have expired if no more are
