Config: its reads do not hold tasks back while nothing changes

While the configuration did not change, no task could start in a fifth of all moments: a read waited for a second, so the configuration was known to be up to two seconds old, and no task starts on one of 1.8 s. Reads now wait for 0.8 s, as those of the submissions do.

--- a/entry/config/watcher.go
+++ b/entry/config/watcher.go
@@ -40,9 +40,10 @@
 	changed chan struct{}
 }
 
-// readWait bounds how long a read of the topic waits, and so the age of the
-// configuration while it does not change.
-const readWait = time.Second
+// readWait bounds how long a read of the topic waits. While nothing changes, the age of
+// the configuration is up to twice that, which must not exceed the age from which no task
+// is started.
+const readWait = 800 * time.Millisecond
 
 // NewWatcher returns a watcher of a topic of the store.
 func NewWatcher(c common.Common, s spar.Store, topic string, decode Decode) *Watcher {
@@ -68,6 +69,9 @@
 // FreshAt returns the time up to which all changes are known.
 func (w *Watcher) FreshAt() time.Time { return w.topic.FreshAt() }
 
+// RepeatRead sends a read without an answer for minAge again; see track.Follower.
+func (w *Watcher) RepeatRead(minAge time.Duration) { w.topic.RepeatRead(minAge) }
+
 func (w *Watcher) reset(records []spar.Record) {
 	w.update(Snapshot{Rules: w.snapshot.Load().Rules, ClosedDomains: map[string]bool{}}, records)
 }
