Owner: stale inputs are read again at once

After a silence of the store no task started for up to two seconds more, until the reads in flight had timed out. While its inputs are too old the owner now sends their reads again every half a second, without waiting for a next record, so that the first answer tells that nothing was missed.

--- a/entry/owner/inputs.go
+++ b/entry/owner/inputs.go
@@ -6,6 +6,9 @@
 	// maxInputAge is the age of the known jobs and configuration above which no
 	// task is started: a cancel or a closed domain may have been missed.
 	maxInputAge = 1800 * time.Millisecond
+	// inputReadRepeat is the age from which a read of stale inputs is sent again. A
+	// slow store needs half of it.
+	inputReadRepeat = 500 * time.Millisecond
 	// minReportedStaleness is how long no task must have started for that to be logged.
 	minReportedStaleness = time.Second
 )
@@ -33,6 +36,8 @@
 		t.stale = staleness{}
 		return true
 	}
+	t.jobs.RepeatRead(inputReadRepeat)
+	t.config.RepeatRead(inputReadRepeat)
 	if t.stale.since.IsZero() {
 		t.stale.since = now
 	}
--- a/entry/owner/inputs_test.go
+++ b/entry/owner/inputs_test.go
@@ -56,3 +56,33 @@
 		}
 	})
 }
+
+// Nothing is submitted and no configuration changes. A read that waits for long is then all
+// that shows that nothing was missed; if its answer comes too late, no task starts meanwhile.
+func TestTasksMayStartWhileTheTopicsAreIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := common.Common{Logger: log.NewNopLogger(), Scope: tally.NoopScope}
+		client := store.NewClient(&store.Store{}, 1)
+		watcher := config.NewWatcher(c, client, "op", func(spar.Record) (config.Change, error) { return config.Change{}, nil })
+		tm := newTerm(&Candidate{Common: c, settings: DefaultSettings(), config: watcher, clock: func() time.Duration { return 0 }}, 7, time.Minute)
+		tm.jobs.Store = client
+		ctx, cancel := context.WithCancel(t.Context())
+		watching, following := watcher.Run(ctx), tm.jobs.Run(ctx)
+		time.Sleep(time.Second)
+		const checks = 1000
+		stale := 0
+		for range checks {
+			time.Sleep(10 * time.Millisecond)
+			if !tm.inputsAreFresh(time.Now()) {
+				stale++
+			}
+		}
+		if stale > 0 {
+			t.Errorf("no task may start in %d of %d moments", stale, checks)
+		}
+		cancel()
+		if err := errors.CombineErrors(<-watching, <-following); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/track/current_read.go
+++ b/track/current_read.go
@@ -22,9 +22,9 @@
 	return ctx, cancel
 }
 
-// RepeatRead sends the current read again if it has had no answer for minAge. A read
-// on a connection that has gone silent would otherwise hide new records until it times
-// out, long after the store is back.
+// RepeatRead sends the current read again if it has had no answer for minAge, now
+// without waiting for a next record. A read on a connection that has gone silent would
+// otherwise hide new records until it times out, long after the store is back.
 func (f *Follower) RepeatRead(minAge time.Duration) {
 	f.current.mu.Lock()
 	defer f.current.mu.Unlock()
--- a/track/follower.go
+++ b/track/follower.go
@@ -58,14 +58,17 @@
 func (f *Follower) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		next := int64(-1)
+		next, wait := int64(-1), f.Wait
 		for ctx.Err() == nil {
 			sent := time.Now()
 			readCtx, end := f.current.begin(ctx, sent)
-			b, err := f.read(readCtx, next)
+			b, err := f.read(readCtx, next, wait)
 			repeat := err != nil && ctx.Err() == nil && readCtx.Err() != nil
 			end()
+			wait = f.Wait
 			if repeat {
+				// The answer tells at once that everything is read.
+				wait = 0
 				continue
 			}
 			f.failing.Store(err != nil && !errors.Is(err, spar.ErrGone))
@@ -92,7 +95,7 @@
 
 // read reads the records from next on, or the newest of each key if next is
 // negative, and passes them on.
-func (f *Follower) read(ctx context.Context, next int64) (spar.Batch, error) {
+func (f *Follower) read(ctx context.Context, next int64, wait time.Duration) (spar.Batch, error) {
 	if next < 0 {
 		b, err := f.Store.Newest(ctx, f.Topic)
 		if err == nil {
@@ -100,7 +103,7 @@
 		}
 		return b, err
 	}
-	b, err := f.Store.Follow(ctx, f.Topic, next, f.Wait)
+	b, err := f.Store.Follow(ctx, f.Topic, next, wait)
 	if err == nil && len(b.Records) > 0 {
 		f.OnRecords(b.Records)
 	}
