Shard: full wait for a silent worker whose life has just begun

The likely cause: orders to an earlier life of the same name that arrive late extend the leases of a new life beyond those that owners grant, by up to the longest lease. Connect and reconcileListing allow for that in a term. A new owner knows nothing of it, and its wait of 11.25 s was mostly long enough; one shortened to 5.25 s after the last grant is not. The wait is now shortened only for lives that began so long ago that such orders have expired.

--- a/entry/owner/predecessors.go
+++ b/entry/owner/predecessors.go
@@ -192,7 +192,7 @@
 		return p.waitUntil
 	}
 	t.stateMu.Lock()
-	t.scheduler.ShortenRestoredLeases(end)
+	t.scheduler.ShortenRestoredLeases(end, time.Now())
 	t.stateMu.Unlock()
 	t.wakeLoop()
 	return end
--- a/prove/simul/grants_test.go
+++ b/prove/simul/grants_test.go
@@ -10,6 +10,9 @@
 	"github.com/berylspar/spar/track"
 )
 
+// settledAge is the age from which a worker has no orders to an earlier life of its name.
+const settledAge = 30 * time.Second
+
 // The store is away. Meanwhile a worker and its agent vanish without notice, and the
 // owner is killed and restarted. The next owner must not wait for leases that an earlier
 // one could grant if it still ran.
@@ -21,7 +24,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, s, stop := newFixedWorkloadSimulation(t, seed, 3, 6)
 			defer stop()
-			track.Pause(ctx, 3*time.Second)
+			track.Pause(ctx, settledAge)
 			for range 12 {
 				s.submit(s.entries[0])
 			}
@@ -74,7 +77,7 @@
 					ctx, s, stop := newFixedWorkloadSimulation(t, seed, 3, 4)
 					defer stop()
 					s.runTime = 40 * time.Second
-					track.Pause(ctx, 3*time.Second)
+					track.Pause(ctx, settledAge)
 					old := s.currentOwner()
 					for i := range 8 {
 						j := jobOf(string(rune('a'+i)), 2)
