--- a/stand/worker/invariants.go
+++ b/stand/worker/invariants.go
@@ -35,8 +35,10 @@
 	startsAfterCrashes map[spar.TaskRef]int
 	// succeeded holds tasks with a successful end, acknowledged or not.
 	succeeded map[spar.TaskRef]bool
-	// lastEnd is when a run of a task last ended or was lost.
+	// lastEnd is when a run of a task last ended or was lost, and lastCrash when a
+	// run last crashed its worker.
 	lastEnd    map[spar.TaskRef]time.Time
+	lastCrash  time.Time
 	startCount int
 	violations []string
 	// StartForbidden returns why a task must not be started on a node now, or "".
@@ -108,6 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.crashes[t]++
+	c.lastCrash = time.Now()
 }
 
 // overfill records a start that brings a worker over its size.
@@ -199,6 +202,13 @@
 	return c.lastEnd[t]
 }
 
+// LastCrash returns when a run last crashed its worker, or zero.
+func (c *InvariantChecker) LastCrash() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastCrash
+}
+
 // StartCount returns the number of starts so far.
 func (c *InvariantChecker) StartCount() int {
 	c.mu.Lock()
