Agent: the first session of a new owner tells at once that the worker has left

The agent was in a session with it for 0.4 s before its machine was gone, but tried four hold calls, 1.35 s, before it said that the worker had left. It now says so after the first call that shows it, as the hold loop does.

Test: exec.TestNewOwnerIsToldAtOnceThatAWorkerHasLeft failed before ('was not told within 250ms').

--- a/agent/exec/departures_test.go
+++ b/agent/exec/departures_test.go
@@ -27,6 +27,8 @@
 	acks, down bool
 	silent     map[string]bool
 	told       map[string][]link.Departure
+	// leaves counts the messages that tell the owner that the worker has left.
+	leaves int
 	owned      net.Conn
 }
 
@@ -89,6 +91,8 @@
 		case b.down:
 			b.mu.Unlock()
 			return
+		case m.WorkerLeft:
+			b.leaves++
 		case m.Node != "":
 			b.owned = c
 			answer.Welcome = &link.Welcome{Epoch: 1, Token: 7, Lease: 5 * time.Second}
@@ -263,3 +267,19 @@
 		b.expect(t, 2, 1, false)
 	})
 }
+
+// A new owner is there just after a worker has left. Its first session has to tell it at
+// the first failed call: the agent's machine is gone within a second.
+func TestNewOwnerIsToldAtOnceThatAWorkerHasLeft(t *testing.T) {
+	testDeparture(t, func(t *testing.T, b *departureBench) {
+		b.set(func() { b.down = true })
+		time.Sleep(200 * time.Millisecond)
+		b.beats.Deregister(workerLife.ID)
+		b.worker.change(func() { b.worker.gone = true })
+		b.set(func() { b.down = false })
+		time.Sleep(sessionDelay + 150*time.Millisecond)
+		if b.leaves == 0 {
+			t.Errorf("the owner was not told within %s", sessionDelay+150*time.Millisecond)
+		}
+	})
+}
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -169,6 +169,10 @@
 		if err == nil || errors.Is(err, spar.ErrOtherLife) || ctx.Err() != nil {
 			return l, err
 		}
+		if s.recordLeft(ctx, s.life, s.listBegun, err) {
+			// The machine may be gone soon, and the owner has to be told before.
+			break
+		}
 		track.Pause(ctx, holdRetryDelay)
 	}
 	return spar.RunLists{}, errors.Wrap(err, "worker does not answer")
