Simulation: departures of workers that have run for long, with every entry killed

The shorter wait for leases does not apply in the first 27 s of a worker's life (grants, keep the full wait for a silent worker that started recently), so the test with all entries killed fails again with its young workers: 11.4 s, want 6 s. A second test has workers that have run for 30 s, with the same limit: 5.4 s.

--- a/agent/exec/departures_test.go
+++ b/agent/exec/departures_test.go
@@ -29,7 +29,7 @@
 	told       map[string][]link.Departure
 	// leaves counts the messages that tell the owner that the worker has left.
 	leaves int
-	owned      net.Conn
+	owned  net.Conn
 }
 
 func newDepartureBench(ctx context.Context, t *testing.T) (b *departureBench, done <-chan error) {
--- a/prove/simul/standing_test.go
+++ b/prove/simul/standing_test.go
@@ -37,6 +37,9 @@
 	// deadFor is the time from the end of the outage until they are restarted.
 	deadFor time.Duration
 	drains  bool
+	// age is how long the workers have run before the outage, beside the time that the
+	// tasks take to start.
+	age time.Duration
 }
 
 // A worker with standing tasks leaves by plan, and its machine with it, while the store
@@ -45,14 +48,14 @@
 // it.
 func TestStandingTasksOfDepartedWorkerRunAgainAfterOwnerIsKilled(t *testing.T) {
 	playDepartures(t, []departure{
-		{"owner killed, worker gone", 1, 0, false},
-		{"owner killed, worker drained", 1, 0, true},
-		{"owner killed for 10 s, worker gone", 1, 10 * time.Second, false},
-		{"owner killed for 10 s, worker drained", 1, 10 * time.Second, true},
-		{"two entries killed, worker gone", 2, 0, false},
-		{"two entries killed, worker drained", 2, 0, true},
-		{"two entries killed for 10 s, worker gone", 2, 10 * time.Second, false},
-		{"two entries killed for 10 s, worker drained", 2, 10 * time.Second, true},
+		{"owner killed, worker gone", 1, 0, false, 0},
+		{"owner killed, worker drained", 1, 0, true, 0},
+		{"owner killed for 10 s, worker gone", 1, 10 * time.Second, false, 0},
+		{"owner killed for 10 s, worker drained", 1, 10 * time.Second, true, 0},
+		{"two entries killed, worker gone", 2, 0, false, 0},
+		{"two entries killed, worker drained", 2, 0, true, 0},
+		{"two entries killed for 10 s, worker gone", 2, 10 * time.Second, false, 0},
+		{"two entries killed for 10 s, worker drained", 2, 10 * time.Second, true, 0},
 	})
 }
 
@@ -60,8 +63,8 @@
 // departure over.
 func TestStandingTasksOfDepartedWorkerRunAgainAfterOutage(t *testing.T) {
 	playDepartures(t, []departure{
-		{"worker gone", 0, 0, false},
-		{"worker drained", 0, 0, true},
+		{"worker gone", 0, 0, false, 0},
+		{"worker drained", 0, 0, true, 0},
 	})
 }
 
@@ -69,8 +72,17 @@
 // left that was told of the departure.
 func TestStandingTasksOfDepartedWorkerRunAgainAfterAllEntriesAreKilled(t *testing.T) {
 	playDepartures(t, []departure{
-		{"worker gone", 3, 0, false},
-		{"worker drained", 3, 0, true},
+		{"worker gone", 3, 0, false, 0},
+		{"worker drained", 3, 0, true, 0},
+	})
+}
+
+// As above, with workers that have run for so long that no order to an earlier life of the
+// same name can be carried out any more.
+func TestStandingTasksOfLongRunningWorkerRunAgainAfterEveryEntryIsKilled(t *testing.T) {
+	playDepartures(t, []departure{
+		{"worker gone", 3, 0, false, 30 * time.Second},
+		{"worker drained", 3, 0, true, 30 * time.Second},
 	})
 }
 
@@ -103,6 +115,7 @@
 		}
 	}
 	track.Pause(ctx, time.Second+time.Duration(s.random.IntN(1000))*time.Millisecond)
+	track.Pause(ctx, d.age)
 	killed := s.ownerAndOthers(d.killed)
 	s.setAllStoreFaults(store.Faults{Unreachable: true})
 	back := time.Now().Add(storeOutage)
