Agent: no start call to a worker that does not answer hold calls

A worker crashes, and its hold calls fail for 0.7 s until the session ends. Start orders that arrive meanwhile are sent, and one is not answered. The worker restarts under its name while its agent's process is away, and the call is carried out late in the new life, which has seen no fencing token and whose clock starts at 0, so that its lease lasts up to MaxLease from then. The owner has given the task elsewhere when the lease bound reported by the agent had passed.

Cause: the agent sends start calls, and repeats them, while the last call to the worker has failed. Such a call does not help, and only it can be carried out in the next life.

Change: a start waits until a call is answered again. If the session ends before that, a call was not sent at all.

Not covered: a start call that is sent before the worker is seen to fail, gets no answer and is carried out in a next life of which neither agent nor owner knows when the lease bound passes.

--- a/agent/exec/life.go
+++ b/agent/exec/life.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// lastCallFailed reports whether the worker has left the last call without an answer.
+func (l *lifeRecord) lastCallFailed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failedAt != 0
+}
+
 // end returns the report that the life is over. Without a failed call it is not
 // known when and how the life ended.
 func (l *lifeRecord) end() link.LifeEnd {
