Owner: apply the ends that agents told before lives that were handed over

A task that was done, or that had a checkpoint, started anew from its earlier state after a takeover, if its worker's departure had been handed over in the store as well as told to the next owner. The record ends the life, and after that the worker is unknown, so the ends told of it have no effect. Now what agents tell is applied first.

--- a/entry/owner/kept_test.go
+++ b/entry/owner/kept_test.go
@@ -137,6 +137,21 @@
 	})
 }
 
+// An earlier owner has handed over that a life is over, and the agent has told this entry
+// which runs had ended before that. A task that was done must not start again.
+func TestEndsToldOfALifeThatWasHandedOverAreApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newDepartureBench(t)
+		earlier := newTerm(b.candidate, 7, time.Hour)
+		earlier.writeDeparture(t.Context(), departedLife)
+		end := spar.Ended{Number: 1, Task: b.orders[0].Task, Run: 1, Ending: spar.EndDone}
+		b.tell(link.Departure{Node: "n1", Life: departedLife, Ended: []spar.Ended{end}, Left: true})
+		tm := b.beginTerm(8)
+		b.connect(tm, "n2")
+		b.expectStarts(tm, 2)
+	})
+}
+
 // The owner itself is told of a departure that it has not heard of in a session.
 func TestDepartureToldToTheOwnerIsAppliedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -176,8 +176,9 @@
 		t.Warn("could not restore stored progress", "err", err)
 	}
 	t.applyCancels(jobs.Records, now)
-	t.applyDepartures(jobs.Records)
+	// An agent tells of ends of runs, which have no effect once the life is over.
 	t.applyKept(now)
+	t.applyDepartures(jobs.Records)
 	runs, workers := t.scheduler.RestoredRuns()
 	t.stateMu.Unlock()
 	t.predecessors.recordSeq = 1
