Owner tests: order what goroutines share

'go test -race ./owner/' in entry reported races in three tests: they read what a term's goroutines had written after a sleep alone, and shared a map of peers and a log buffer. The code that they test is not affected.

--- a/entry/owner/departure_sync_test.go
+++ b/entry/owner/departure_sync_test.go
@@ -43,6 +43,7 @@
 		begun := time.Now()
 		done := tm.collectDepartures(tm.ctx, append(entries, spar.Record{Key: link.EntryPrefix + "bad", Value: []byte{0xc1}}))
 		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
 		b.connect(tm, "n2")
 		b.expectStarts(tm, 2, 2)
 		if err := <-done; err != nil {
--- a/entry/owner/inputs_test.go
+++ b/entry/owner/inputs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +18,29 @@
 	"github.com/uber-go/tally/v4"
 )
 
+// logBuffer is a buffer that several goroutines may use.
+type logBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
 // While the store cannot be read, no task starts. Logs that do not say so leave an
 // operator to search for the cause among the workers.
 func TestStaleInputsAreLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var logs bytes.Buffer
+		var logs logBuffer
 		c := common.Common{Logger: log.NewLogfmtLogger(&logs), Scope: tally.NoopScope}
 		client := store.NewClient(&store.Store{}, 1)
 		watcher := config.NewWatcher(c, client, "op", func(spar.Record) (config.Change, error) { return config.Change{}, nil })
@@ -29,6 +48,7 @@
 		tm.jobs.Store = client
 		expect := func(fresh bool, warnings, ends int) {
 			t.Helper()
+			synctest.Wait()
 			if got := tm.checkInputs(time.Now()); got != fresh {
 				t.Errorf("inputs are fresh: %v, want %v", got, fresh)
 			}
--- a/entry/owner/predecessors_test.go
+++ b/entry/owner/predecessors_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,11 +21,14 @@
 )
 
 // fakePeers calls the candidates by address. Others do not answer.
-type fakePeers map[string]*Candidate
+type fakePeers struct{ byAddress sync.Map }
 
-func (p fakePeers) Call(_, address, path string, _ []byte, limit time.Duration) (int, []byte, error) {
-	c := p[address]
-	if c == nil {
+func (p *fakePeers) add(address string, c *Candidate) { p.byAddress.Store(address, c) }
+
+func (p *fakePeers) Call(_, address, path string, _ []byte, limit time.Duration) (int, []byte, error) {
+	v, _ := p.byAddress.Load(address)
+	c, ok := v.(*Candidate)
+	if !ok {
 		time.Sleep(limit)
 		return 0, nil, errors.New("no answer")
 	}
@@ -51,6 +55,7 @@
 	t.Helper()
 	c.beginTerm(ctx, generation, c.clock()+time.Hour)
 	time.Sleep(100 * time.Millisecond)
+	synctest.Wait()
 	if !c.term.isReady() {
 		t.Fatalf("term of generation %d is not ready", generation)
 	}
@@ -84,7 +89,7 @@
 // third must ask the first too, or it takes the leases of the first for expired.
 func TestPredecessorThatDidNotAnswerIsLeftToTheNextOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, peers := &store.Store{}, fakePeers{}
+		s, peers := &store.Store{}, &fakePeers{}
 		a, b, c := newTestCandidate(s, "a", peers), newTestCandidate(s, "b", peers), newTestCandidate(s, "c", peers)
 		defer stopTerms(a, b, c)
 		begin(t.Context(), t, a, 1)
@@ -94,14 +99,16 @@
 		b.term.stop()
 		tm := begin(t.Context(), t, c, 3)
 		expectPredecessors(t, s, link.Predecessor{Epoch: 512, PeerAddress: "b"}, link.Predecessor{Epoch: 256, PeerAddress: "a"})
-		peers["b"] = newTestCandidate(s, "b", peers)
+		peers.add("b", newTestCandidate(s, "b", peers))
 		time.Sleep(time.Second)
+		synctest.Wait()
 		expectPredecessors(t, s, link.Predecessor{Epoch: 256, PeerAddress: "a"})
 		if left := tm.predecessors.unsettled; len(left) != 1 {
 			t.Errorf("%d predecessors are left, want 1", len(left))
 		}
-		peers["a"] = a
+		peers.add("a", a)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		expectPredecessors(t, s)
 		if !a.term.hasFailed() {
 			t.Error("the first owner goes on")
@@ -113,16 +120,17 @@
 // one, which asks the predecessor no more. The answer must cover the predecessor's grants.
 func TestAnswerCoversGrantsOfSettledPredecessors(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, peers := &store.Store{}, fakePeers{}
+		s, peers := &store.Store{}, &fakePeers{}
 		a, b := newTestCandidate(s, "a", peers), newTestCandidate(s, "b", peers)
 		defer stopTerms(a, b)
-		peers["a"] = a
+		peers.add("a", a)
 		begin(t.Context(), t, a, 1)
 		time.Sleep(time.Minute)
 		grantedAt := time.Now()
 		a.grants.record(256, a.clock)
 		begin(t.Context(), t, b, 2)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		expectPredecessors(t, s)
 		if age := b.settleGrants(512, 768).age(); time.Now().Add(-age).Before(grantedAt) {
 			t.Errorf("the answer names an age of %s, the predecessor granted a lease %s ago", age, time.Since(grantedAt))
@@ -134,7 +142,7 @@
 // which its leases can last it must be dropped, or each later owner waits for it.
 func TestPredecessorIsDroppedWhenItsLeasesAreOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, peers := &store.Store{}, fakePeers{}
+		s, peers := &store.Store{}, &fakePeers{}
 		a, b := newTestCandidate(s, "a", peers), newTestCandidate(s, "b", peers)
 		defer stopTerms(a, b)
 		begin(t.Context(), t, a, 1)
@@ -150,7 +158,7 @@
 func TestOwnEarlierTermIsSettledWithoutACall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &store.Store{}
-		a := newTestCandidate(s, "a", fakePeers{})
+		a := newTestCandidate(s, "a", &fakePeers{})
 		defer stopTerms(a)
 		begin(t.Context(), t, a, 1).stop()
 		begin(t.Context(), t, a, 2)
@@ -174,7 +182,7 @@
 // must wait for the longest lease.
 func TestOwnerOfTheEarlierBuildIsNeverSettledByAnAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, peers := &store.Store{}, fakePeers{}
+		s, peers := &store.Store{}, &fakePeers{}
 		value, err := msgpack.Marshal(&earlierEntryRecord{Epoch: 256, PeerAddress: "a"})
 		if err != nil {
 			t.Fatal(err)
@@ -184,12 +192,15 @@
 		}
 		b, c := newTestCandidate(s, "b", peers), newTestCandidate(s, "c", peers)
 		defer stopTerms(b, c)
-		peers["a"], peers["b"] = newTestCandidate(s, "a", peers), b
+		peers.add("a", newTestCandidate(s, "a", peers))
+		peers.add("b", b)
 		begin(t.Context(), t, b, 2)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		expectPredecessors(t, s, link.Predecessor{})
 		begin(t.Context(), t, c, 3)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		expectPredecessors(t, s, link.Predecessor{})
 		time.Sleep(c.settings.maxEarlierLease())
 		expectPredecessors(t, s)
@@ -205,7 +216,7 @@
 func TestEarlierOwnerCannotPublishAfterTheNextHasReadTheRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &store.Store{}
-		earlier, next := newTerm(newTestCandidate(s, "a", fakePeers{}), 256, time.Hour), newTerm(newTestCandidate(s, "b", fakePeers{}), 512, time.Hour)
+		earlier, next := newTerm(newTestCandidate(s, "a", &fakePeers{}), 256, time.Hour), newTerm(newTestCandidate(s, "b", &fakePeers{}), 512, time.Hour)
 		for _, tm := range []*term{earlier, next} {
 			tm.ctx, tm.cancel = context.WithCancel(t.Context())
 			defer tm.cancel()
