--- a/agent/exec/departures_test.go
+++ b/agent/exec/departures_test.go
@@ -237,6 +237,22 @@
 	})
 }
 
+// The owner stores that a task runs on a worker, and is killed before its order reaches the
+// agent. The worker leaves without having had a run, while there is no owner. The next one
+// would wait for the leases on it.
+func TestAllEntriesAreToldThatAnEmptyWorkerHasLeftWithoutAnOwner(t *testing.T) {
+	testDeparture(t, func(t *testing.T, b *departureBench) {
+		b.set(func() { b.down = true })
+		b.beat(2, true)
+		time.Sleep(time.Second)
+		b.expect(t, 0, 0, false)
+		b.beats.Deregister(workerLife.ID)
+		b.worker.change(func() { b.worker.gone = true })
+		time.Sleep(4 * departureInterval)
+		b.expect(t, 3, 0, true)
+	})
+}
+
 // The session with the owner breaks while a worker that has deregistered still works. The
 // hold call that ends with the session does not tell that the worker is gone.
 func TestWorkerThatStillAnswersHasNotLeft(t *testing.T) {
