Agent: repeat reads of the owner topic only while sessions fail

The agent of a machine without a worker, or whose worker has left, cut its read of the owner topic off each second for as long as it ran, instead of waiting three seconds for a record: 30 reads in 30 s, 29 of them cut off, in the new test, want 10 and none. It needs no session, so there is nothing to be found sooner.

--- a/agent/exec/executor.go
+++ b/agent/exec/executor.go
@@ -29,8 +29,8 @@
 	logEveryNthFailure = 20
 	// ownerReadWait limits how long one read of the owner topic waits for a new
 	// record. A store connection that stopped responding is detected only after
-	// this time, or after ownerReadRepeat while there is no session: the leases
-	// would end before the agent learns of the next owner.
+	// this time, or after ownerReadRepeat while sessions fail: the leases would end
+	// before the agent learns of the next owner.
 	ownerReadWait   = 3 * time.Second
 	ownerReadRepeat = time.Second
 )
@@ -105,7 +105,9 @@
 				}
 			}
 			e.listWithoutSession(ctx)
-			e.directory.RepeatRead(ownerReadRepeat)
+			if err != nil {
+				e.directory.RepeatRead(ownerReadRepeat)
+			}
 			e.waitForChange(ctx)
 		}
 		done <- errors.CombineErrors(<-ownerDone, <-departuresDone)
