Agent: take a late deregistration of an earlier life back

A worker that restarts under its name counted as deregistered for the rest of its life if the call of its earlier life arrived late: the call names no life. From then on one call to it without an answer counts as its end, and the agent tells all entries that its runs are over while it works on them. A worker reports that it drains before it deregisters, so one that reports later that it is ready has not.

--- a/agent/exec/heartbeats.go
+++ b/agent/exec/heartbeats.go
@@ -115,6 +115,10 @@
 		}
 	}
 	b.last = &r
+	if b.deregistered == r.Info.Life && !r.Info.Draining {
+		// The call was late and of an earlier life with the same name.
+		b.deregistered = spar.Life{}
+	}
 	if old != nil && old.Info.Draining && old.Info.Life != r.Info.Life {
 		b.drained = old.Info.Life
 	}
