Entry: accept agents again after a failed accept

An entry that could not accept one connection, for instance without a free file descriptor, accepted no more until its restart. It stayed in the election, and as the owner it would have waited for agents that can not reach it. Now it logs that and goes on after a pause.

--- a/entry/owner/accept.go
+++ b/entry/owner/accept.go
@@ -4,11 +4,15 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/berylspar/spar/link"
-	"github.com/cockroachdb/errors"
+	"github.com/berylspar/spar/track"
 )
 
+// acceptRetryDelay is the pause after a connection could not be accepted.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // acceptAgents accepts connections of agents until the context ends, and waits for those
 // that it has accepted.
 func (c *Candidate) acceptAgents(ctx context.Context) <-chan error {
@@ -32,8 +36,9 @@
 				return
 			}
 			if err != nil {
-				done <- errors.Wrap(err, "accept agents")
-				return
+				c.Warn("could not accept an agent", "err", err)
+				track.Pause(ctx, acceptRetryDelay)
+				continue
 			}
 			serving.Go(func() { c.serveConnection(ctx, conn) })
 		}
--- a/entry/owner/kept_test.go
+++ b/entry/owner/kept_test.go
@@ -93,6 +93,13 @@
 func (b *departureBench) tell(departures ...link.Departure) {
 	b.Helper()
 	c, served := b.open(b.Context())
+	b.tellOver(c, departures...)
+	<-served
+}
+
+// tellOver does so over the agent's end of a connection, and closes it.
+func (b *departureBench) tellOver(c net.Conn, departures ...link.Departure) {
+	b.Helper()
 	conn := link.NewConn[link.OwnerMessage, link.AgentMessage](c)
 	for _, d := range departures {
 		if err := conn.Send(&link.AgentMessage{Departure: &d}); err != nil {
@@ -103,7 +110,6 @@
 		}
 	}
 	conn.Close()
-	<-served
 }
 
 // expectStarts checks the run numbers of the starts that are ordered next.
