--- a/track/follower.go
+++ b/track/follower.go
@@ -61,7 +61,7 @@
 		next, wait := int64(-1), f.Wait
 		for ctx.Err() == nil {
 			sent := time.Now()
-			readCtx, end := f.current.begin(ctx, sent)
+			readCtx, end := f.current.begin(ctx, sent, next >= 0 && wait > 0)
 			b, err := f.read(readCtx, next, wait)
 			repeat := err != nil && ctx.Err() == nil && readCtx.Err() != nil
 			end()
