Agent: a worker that answers again has not left; owner: short errors for bad departures

A call without an answer after the deregistration made a life count as over for good, so that entries went on being told so while the worker answered. Test: exec.TestWorkerThatAnswersAgainHasNotLeft failed before ('counts as gone'). The error for a bad departure printed it whole, up to 8 MB; it names the field and its size now.

--- a/agent/exec/left_test.go
+++ b/agent/exec/left_test.go
@@ -39,3 +39,16 @@
 		})
 	}
 }
+
+// A worker that seemed to have left answers again. The entries must not be told any longer
+// that its runs are over.
+func TestWorkerThatAnswersAgainHasNotLeft(t *testing.T) {
+	l := newLifeRecord(workerLife)
+	lists := spar.RunLists{Running: []spar.Running{{Task: spar.TaskRef{Job: "a"}, Run: 1}}}
+	l.recordLists(lists, time.Second)
+	l.recordLeft(time.Second)
+	l.recordLists(lists, 2*time.Second)
+	if l.hasLeft() {
+		t.Error("a worker that lists its runs counts as gone")
+	}
+}
--- a/agent/exec/life.go
+++ b/agent/exec/life.go
@@ -91,6 +91,8 @@
 		delete(l.starts, runKey{e.Task, e.Run})
 	}
 	l.ends.update(lists.Ended, now)
+	// A worker that answers has not left, whatever an earlier call seemed to tell.
+	l.left = false
 }
 
 // recordFencedLists applies the worker's lists under a new fencing token. Runs that
--- a/entry/owner/kept.go
+++ b/entry/owner/kept.go
@@ -86,8 +86,13 @@
 func (c *Candidate) receiveDepartures(conn *link.Conn[link.AgentMessage, link.OwnerMessage], m *link.AgentMessage) error {
 	for {
 		d := m.Departure
-		if d == nil || d.Node == "" || d.Life.ID == "" || len(d.Node) > maxLifeIDBytes || len(d.Life.ID) > maxLifeIDBytes {
-			return errors.Newf("message without a valid departure: %+v", d)
+		switch {
+		case d == nil:
+			return errors.New("message without a departure")
+		case d.Node == "" || len(d.Node) > maxLifeIDBytes:
+			return errors.Newf("departure with a node of %d bytes, want 1 to %d", len(d.Node), maxLifeIDBytes)
+		case d.Life.ID == "" || len(d.Life.ID) > maxLifeIDBytes:
+			return errors.Newf("departure with a life of %d bytes, want 1 to %d", len(d.Life.ID), maxLifeIDBytes)
 		}
 		c.Info("departure kept", "node", d.Node, "worker", d.Life.ID, "born", d.Life.Born, "ends", len(d.Ended), "left", d.Left)
 		c.Counter("departures_kept").Inc(1)
