Agent: repeated start calls do not wait for hold calls

Cause, by reading: a start that was not answered is a candidate for the cause of a crash only if its last call was sent before the first failed one.

Change: only first calls wait. One that is not sent is never a candidate, before or after. The first call of a repeated one is outstanding anyway.

--- a/agent/exec/start.go
+++ b/agent/exec/start.go
@@ -56,8 +56,9 @@
 // successful start or from an answered stop. The context ends when a stop of the run is
 // ordered; the stop settles the outcome then.
 //
-// No call is sent while the worker does not answer hold calls: if it has crashed, its next
-// life may carry the call out when the owner has given the task elsewhere.
+// No first call is sent while the worker does not answer hold calls: if it has crashed, its
+// next life may carry the call out when the owner has given the task elsewhere. A repeated
+// call adds little to that risk.
 func (s *session) start(ctx context.Context, o spar.StartOrder) {
 	k := runKey{o.Task, o.Run}
 	defer func() {
@@ -72,7 +73,7 @@
 			s.giveUpStart(ctx, o, reason, maybeStarted)
 			return
 		}
-		if s.ownerSilence() > maxStartAge || s.life.lastCallFailed() {
+		if s.ownerSilence() > maxStartAge || !maybeStarted && s.life.lastCallFailed() {
 			s.startCalls.release()
 			track.Pause(ctx, orderRetryDelay)
 			continue
