Simulation: a restarted entry listens at the address that it had

Agents could not tell a restarted entry of a departure while the store was silent, since its address was a new one; on instances it is the same.

--- a/prove/simul/net_test.go
+++ b/prove/simul/net_test.go
@@ -94,11 +94,12 @@
 	once    sync.Once
 }
 
-func (n *network) listen(name string) *listener {
+// listen has the process of a name listen at an address, in place of an earlier process.
+func (n *network) listen(address, name string) *listener {
 	l := &listener{net: n, name: name, pending: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.listeners[name] = l
+	n.listeners[address] = l
 	return l
 }
 
@@ -124,12 +125,12 @@
 		n.mu.Lock()
 		l := n.listeners[to]
 		n.mu.Unlock()
-		if l == nil || n.isBlocked(from, to) {
+		if l == nil || n.isBlocked(from, l.name) {
 			track.Pause(ctx, 300*time.Millisecond)
 			return nil, errors.New("connect: no answer")
 		}
 		a, b := net.Pipe()
-		state := &connState{net: n, a: from, b: to}
+		state := &connState{net: n, a: from, b: l.name}
 		select {
 		case l.pending <- &conn{Conn: b, state: state}:
 			return &conn{Conn: a, state: state}, nil
--- a/prove/simul/relay_test.go
+++ b/prove/simul/relay_test.go
@@ -39,7 +39,7 @@
 	c.Scope = d.scope
 	watch := config.NewWatcher(c, d.client, topic, s.decodeChange)
 	o := owner.NewCandidate(c, ownerSettings(), d.client, nil, watch, name, link.EntryRecord{AgentAddress: name, PeerAddress: peers.Addr().String()},
-		s.net.listen(name), func() time.Duration { return time.Since(s.startedAt) }, owner.NewHTTPPeers())
+		s.net.listen(name, name), func() time.Duration { return time.Since(s.startedAt) }, owner.NewHTTPPeers())
 	d.place = track.NewDirectory(d.client, time.Second, func(error) {})
 	d.asker = owner.NewClient(c, o, d.place)
 	r := router.New()
--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -181,7 +181,7 @@
 	c := s.common(name)
 	watch := config.NewWatcher(c, e.storeClient, topic, s.decodeChange)
 	clock := func() time.Duration { return time.Since(s.startedAt) }
-	e.owner = owner.NewCandidate(c, ownerSettings(), e.storeClient, nil, watch, name, link.EntryRecord{AgentAddress: name, PeerAddress: e.name}, s.net.listen(name), clock, peerCaller{s.net, e.name})
+	e.owner = owner.NewCandidate(c, ownerSettings(), e.storeClient, nil, watch, name, link.EntryRecord{AgentAddress: e.name, PeerAddress: e.name}, s.net.listen(e.name, name), clock, peerCaller{s.net, e.name})
 	routes := router.New()
 	e.owner.AddRoutes(routes)
 	s.net.setPeer(e.name, routes.Handler)
