--- a/entry/owner/predecessors.go
+++ b/entry/owner/predecessors.go
@@ -122,7 +122,8 @@
 	}
 	var written <-chan error
 	var failure error
-	for pending, changed := len(p.unsettled), false; pending > 0 || written != nil; {
+	pending, changed := len(p.unsettled), false
+	for pending > 0 || written != nil {
 		select {
 		case a := <-answers:
 			pending--
--- /dev/null
+++ b/entry/owner/takeover.go
@@ -0,0 +1,89 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/link"
+)
+
+// takeOver fences older owners, restores the stored state and publishes the
+// owner's addresses. It reports whether that succeeded.
+func (t *term) takeOver(ctx context.Context) bool {
+	begun := time.Now()
+	if !t.fence(ctx) {
+		return false
+	}
+	var batches [3]spar.Batch
+	if !forEach(ctx, []string{JobsTopic, stateTopic, link.OwnerTopic}, func(ctx context.Context, i int, topic string) bool { return t.readNewest(ctx, topic, &batches[i]) }) {
+		return false
+	}
+	jobs, state := batches[0], batches[1]
+	t.entries = batches[2].Records
+	t.predecessors.unsettled = t.findPredecessors(t.entries, state.Records)
+	t.settleOwn()
+	runs, workers := t.restore(jobs.Records, state.Records)
+	t.predecessors.recordSeq = 1
+	if !t.appendFenced(ctx, link.OwnerTopic, t.predecessors.recordSeq, t.ownerRecord()) {
+		return false
+	}
+	t.restored.Store(true)
+	t.Info("state taken over", "epoch", t.epoch, "jobs", len(jobs.Records), "progress", len(state.Records), "took", time.Since(begun),
+		"runs", runs, "workers", workers, "wait", time.Until(t.predecessors.waitUntil), "earlier_owners", len(t.predecessors.unsettled))
+	t.Timer("takeover").Record(time.Since(begun))
+	return true
+}
+
+// restore loads the stored state and what agents have told of departures. It returns the
+// number of runs that earlier owners left, and of their workers.
+func (t *term) restore(jobs, state []spar.Record) (runs, workers int) {
+	now := time.Now()
+	t.stateMu.Lock()
+	defer t.stateMu.Unlock()
+	t.applyConfig()
+	t.applySubmissions(jobs, func(j spar.Job) { t.scheduler.SubmitEarlier(j, now, now) })
+	t.predecessors.waitUntil = now.Add(t.settings.maxEarlierLease())
+	for _, err := range t.scheduler.Restore(state, now, t.predecessors.waitUntil) {
+		t.Warn("could not restore stored progress", "err", err)
+	}
+	t.applyCancels(jobs, now)
+	// An agent tells of ends of runs, which have no effect once the life is over.
+	t.applyKept(now)
+	t.applyDepartures(jobs)
+	return t.scheduler.RestoredRuns()
+}
+
+// fence keeps older owners from appending to the topics of the owner.
+func (t *term) fence(ctx context.Context) bool {
+	return forEach(ctx, []string{stateTopic, link.OwnerTopic}, func(ctx context.Context, _ int, topic string) bool {
+		return t.appendFenced(ctx, topic, 0, nil)
+	})
+}
+
+// readNewest reads the newest records of a topic and repeats that until it is answered.
+// It reports whether that succeeded; if not, the term has failed.
+func (t *term) readNewest(ctx context.Context, topic string, into *spar.Batch) bool {
+	err := t.retryStoreCall(ctx, 0, func() (err error) {
+		*into, err = t.store.Newest(ctx, topic)
+		return err
+	})
+	if err != nil {
+		t.fail(err)
+	}
+	return err == nil
+}
+
+// forEach makes a call for each topic, all at the same time, and reports whether all
+// succeeded.
+func forEach(ctx context.Context, topics []string, call func(ctx context.Context, i int, topic string) bool) bool {
+	results := make(chan bool, len(topics))
+	for i, topic := range topics {
+		go func() { results <- call(ctx, i, topic) }()
+	}
+	ok := true
+	for range topics {
+		ok = <-results && ok
+	}
+	return ok
+}
--- a/prove/simul/leave_random_test.go
+++ b/prove/simul/leave_random_test.go
@@ -45,17 +45,7 @@
 		s.expectNoViolations()
 	}
 	s.clearFaults()
-	for end := time.Now().Add(recoveryLimit); ; track.Pause(ctx, time.Second) {
-		s.expectNoViolations()
-		left := s.unfinishedJobs()
-		if len(left) == 0 {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatalf("jobs not ended %s after the last fault: %v", recoveryLimit, left)
-		}
-	}
-	s.expectNoneGivenUpWithoutCause()
+	s.expectJobsEnd()
 }
 
 // silenceStore makes the store unreachable for all for a time.
--- a/prove/simul/random_test.go
+++ b/prove/simul/random_test.go
@@ -76,20 +76,26 @@
 		s.expectNoViolations()
 	}
 	s.clearFaults()
-	for end := time.Now().Add(recoveryLimit); ; track.Pause(ctx, time.Second) {
+	s.expectJobsEnd()
+	if n := s.checker.StartCount(); n < 50 {
+		t.Fatalf("only %d tasks were started", n)
+	}
+}
+
+// expectJobsEnd waits until all jobs have ended, within recoveryLimit and without a
+// violation, and checks that none was given up without a cause.
+func (s *simulation) expectJobsEnd() {
+	for end := time.Now().Add(recoveryLimit); ; track.Pause(s.ctx, time.Second) {
 		s.expectNoViolations()
 		left := s.unfinishedJobs()
 		if len(left) == 0 {
 			break
 		}
 		if time.Now().After(end) {
-			t.Fatalf("jobs not ended %s after the last fault: %v", recoveryLimit, left)
+			s.t.Fatalf("jobs not ended %s after the last fault: %v", recoveryLimit, left)
 		}
 	}
 	s.expectNoneGivenUpWithoutCause()
-	if n := s.checker.StartCount(); n < 50 {
-		t.Fatalf("only %d tasks were started", n)
-	}
 }
 
 // newFixedWorkloadSimulation starts a simulation without a log in which every run
