Owner: submissions of ended jobs are dropped as soon as the end is stored

Change: the state of an ended job answers all queries about it. Its submission and its cancel are dropped from the store once the end is stored and no run is left; a new owner restores the job from its state alone. Only a state whose records the store has taken counts as stored.

The stand-in for the store transfers answers over a link with a rate.

An owner of an earlier build does not know jobs whose submissions are dropped.

--- a/entry/owner/expiry.go
+++ b/entry/owner/expiry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -11,29 +12,32 @@
 const (
 	// expiryInterval is the time between two looks for jobs whose retention is over.
 	expiryInterval = time.Second
-	// maxExpiredJobs bounds the jobs that are dropped together.
-	maxExpiredJobs = 500
+	// maxExpiredJobs bounds the jobs that are dropped together, and maxEndedSubmissions
+	// the ended ones whose submissions are.
+	maxExpiredJobs, maxEndedSubmissions = 500, 500
 )
 
-// dropExpired drops the submissions of the jobs whose retention is over, and then has them
-// forgotten. It also drops departures that were handled. It works beside the loop, so that
-// a partition that is down does not hold up commits.
+// dropExpired drops the submissions of the jobs that have ended, and of those whose
+// retention is over, which are then forgotten. It also drops departures that were handled.
+// It works beside the loop, so that a partition that is down does not hold up commits.
 func (t *term) dropExpired(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
 			track.Pause(ctx, expiryInterval)
 			t.stateMu.Lock()
-			ids, keys := t.scheduler.ExpiredJobs(maxExpiredJobs, time.Now()), t.handledDepartures
+			expired, ended := t.scheduler.ExpiredJobs(maxExpiredJobs, time.Now()), t.scheduler.EndedSubmissions(maxEndedSubmissions)
+			keys := t.handledDepartures
 			t.stateMu.Unlock()
-			if len(ids)+len(keys) == 0 || !t.isValid() {
+			if len(expired)+len(ended)+len(keys) == 0 || !t.isValid() {
 				continue
 			}
-			if err := t.dropSubmissions(ctx, ids, keys); err != nil {
+			if err := t.dropSubmissions(ctx, slices.Concat(expired, ended), keys); err != nil {
 				continue
 			}
 			t.stateMu.Lock()
-			t.scheduler.ForgetJobs(ids)
+			t.scheduler.SubmissionsDropped(ended)
+			t.scheduler.ForgetJobs(expired)
 			t.handledDepartures = t.handledDepartures[len(keys):]
 			t.stateMu.Unlock()
 			t.wakeLoop()
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -30,8 +30,10 @@
 type Commit struct {
 	// Records are written to the progress topic in this order. An owner that ends
 	// after some of them leaves records that the next one can restore.
-	Records     []spar.Record
-	jobStates   map[*job]State
+	Records   []spar.Record
+	jobStates map[*job]State
+	// refusedJobs are those of which the store has refused a record.
+	refusedJobs map[*job]bool
 	claimedRuns []*run
 	acks        map[*worker]int64
 }
@@ -43,7 +45,7 @@
 
 // PrepareCommit collects and clears the changes since the last commit.
 func (sc *Scheduler) PrepareCommit() *Commit {
-	out := &Commit{jobStates: map[*job]State{}, claimedRuns: sc.claimedRuns, acks: sc.pendingAcks}
+	out := &Commit{jobStates: map[*job]State{}, refusedJobs: map[*job]bool{}, claimedRuns: sc.claimedRuns, acks: sc.pendingAcks}
 	var heads, drops []spar.Record
 	for j := range sc.changedJobs {
 		r := j.takeChanges(sc.limits.recordBytes(), sc.now)
@@ -73,7 +75,11 @@
 	for _, r := range refused {
 		sc.onEvent(Event{Name: "record refused", Task: r.Key, Reason: fmt.Sprintf("%d bytes", len(r.Value))})
 		j := sc.jobs[jobOfKey(r.Key)]
-		if j == nil || j.hasEnded() {
+		if j == nil {
+			continue
+		}
+		c.refusedJobs[j] = true
+		if j.hasEnded() {
 			continue
 		}
 		j.failure = fmt.Sprintf("progress record %s of %d bytes is refused by the store", r.Key, len(r.Value))
@@ -148,6 +154,7 @@
 		if j.reportedState != Cancelled {
 			j.reportedState = s
 		}
+		j.endStored = s.isFinal() && !c.refusedJobs[j]
 	}
 	for w, n := range c.acks {
 		if w.lifeEnded {
--- /dev/null
+++ b/shard/ended_test.go
@@ -0,0 +1,61 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/shard"
+)
+
+// The submission of a job that has ended is dropped before its state. A new owner must
+// answer queries about the job from the state alone, ignore a submission that a caller
+// repeats, and drop the state when the retention is over.
+func TestEndedJobOutlivesItsSubmission(t *testing.T) {
+	h := newHarness(t)
+	h.connect("n1")
+	a := h.submitAndStart("j1", "checks", shortStep(1))
+	h.report("n1", ended(1, a, spar.EndDone))
+	h.runCycle()
+	if got := h.scheduler.EndedSubmissions(10); len(got) != 1 || got[0] != "j1" {
+		t.Fatalf("submissions to be dropped: %v, want that of j1", got)
+	}
+	h.scheduler.SubmissionsDropped([]string{"j1"})
+	if got := h.scheduler.EndedSubmissions(10); len(got) != 0 {
+		t.Errorf("submissions to be dropped again: %v", got)
+	}
+	delete(h.jobs, "j1")
+	h.replaceOwner(time.Second)
+	h.expectState("j1", shard.Completed)
+	h.connect("n1")
+	h.submit("j1", "checks", shortStep(1))
+	h.expectStarts(h.runCycle(), 0)
+	h.advance(limits.Retention + time.Second)
+	if got := h.scheduler.ExpiredJobs(10, h.now); len(got) != 1 {
+		t.Fatalf("expired jobs: %v, want j1", got)
+	}
+	h.scheduler.ForgetJobs([]string{"j1"})
+	h.runCycle()
+	if _, ok := h.state["j1"]; ok {
+		t.Error("the state is kept beyond its retention")
+	}
+}
+
+// A job that has not ended has a run, or its end is not stored: the next owner needs the
+// submission to go on with it.
+func TestSubmissionIsKeptUntilTheEndIsStored(t *testing.T) {
+	h := newHarness(t)
+	h.connect("n1")
+	h.submitAndStart("j1", "checks", shortStep(1))
+	if got := h.scheduler.EndedSubmissions(10); len(got) != 0 {
+		t.Errorf("submission of a running job is to be dropped: %v", got)
+	}
+	h.scheduler.Cancel("j1", h.now)
+	if got := h.scheduler.EndedSubmissions(10); len(got) != 0 {
+		t.Errorf("submission is to be dropped before the end is stored: %v", got)
+	}
+	h.runCycle()
+	if got := h.scheduler.EndedSubmissions(10); len(got) != 0 {
+		t.Errorf("submission of a job with a run is to be dropped: %v", got)
+	}
+}
--- a/shard/expiry.go
+++ b/shard/expiry.go
@@ -5,9 +5,35 @@
 	"time"
 )
 
+// EndedSubmissions returns ended jobs whose submissions are to be dropped, at most limit.
+// The stored state tells all that is asked about them, and a new owner need not read the
+// rest. A job with a run is left out, so that the run is known when it ends.
+func (sc *Scheduler) EndedSubmissions(limit int) []string {
+	var out []string
+	for _, j := range sc.retiredJobs {
+		if len(out) == limit {
+			break
+		}
+		if j.endStored && !j.submissionDropped && !sc.hasRuns(j) {
+			out = append(out, j.ID)
+		}
+	}
+	return out
+}
+
+// SubmissionsDropped records that the submissions of ended jobs were dropped.
+func (sc *Scheduler) SubmissionsDropped(ids []string) {
+	for _, id := range ids {
+		if j := sc.jobs[id]; j != nil {
+			j.submissionDropped = true
+		}
+	}
+}
+
 // ExpiredJobs returns ended jobs whose retention is over, at most limit. Their submissions
-// are to be dropped, and after that the jobs forgotten: an owner that finds the submission
-// of a job without its progress starts the job.
+// are to be dropped, also those that a caller has repeated since the end, and after that
+// the jobs forgotten: an owner that finds the submission of a job without its progress
+// starts the job.
 func (sc *Scheduler) ExpiredJobs(limit int, now time.Time) []string {
 	var out []string
 	for _, j := range sc.retiredJobs {
--- a/shard/job.go
+++ b/shard/job.go
@@ -18,6 +18,8 @@
 	Cancelled State = "cancelled"
 )
 
+func (s State) isFinal() bool { return s == Completed || s == Failed || s == Cancelled }
+
 // job is a submitted job with its progress.
 type job struct {
 	spar.Job
@@ -32,8 +34,10 @@
 	started bool
 	// failure says why the job has failed.
 	failure string
-	// endedAt is when the job reached its final state.
-	endedAt time.Time
+	// endedAt is when the job reached its final state, endStored reports whether that is
+	// stored, and submissionDropped whether the submission was dropped since.
+	endedAt                      time.Time
+	endStored, submissionDropped bool
 	// firstSeen is when this owner first saw the job.
 	firstSeen time.Time
 	storage
@@ -125,6 +129,14 @@
 	return out
 }
 
+// newEndedJob returns a job of which only the final state is known.
+func newEndedJob(id string, s State, started bool, now time.Time) *job {
+	out := newJob(spar.Job{ID: id}, now)
+	out.state, out.reportedState, out.started, out.endedAt = s, s, started, now
+	out.endStored, out.submissionDropped = true, true
+	return out
+}
+
 // addOccurrence adds an occurrence with all its tasks to a job.
 func (j *job) addOccurrence(number int, due time.Time) *occurrence {
 	o := &occurrence{number: number, due: due}
@@ -153,9 +165,7 @@
 }
 
 // hasEnded reports whether the job is in a final state.
-func (j *job) hasEnded() bool {
-	return j.state == Completed || j.state == Failed || j.state == Cancelled
-}
+func (j *job) hasEnded() bool { return j.state.isFinal() }
 
 // isReady reports whether all steps that this one depends on are done.
 func (s *step) isReady() bool {
--- a/shard/restore.go
+++ b/shard/restore.go
@@ -54,19 +54,25 @@
 // restoreJob loads the state of a job, and the progress of its tasks if it was stored
 // as a whole.
 func (sc *Scheduler) restoreJob(id string, value []byte, now, expires time.Time) error {
-	j := sc.jobs[id]
-	if j == nil {
-		// The owner ended after it had dropped the submission.
-		sc.droppedKeys = append(sc.droppedKeys, id)
-		return nil
-	}
 	p, err := codec.Decode[progress](value)
 	if err != nil {
 		return err
 	}
+	j := sc.jobs[id]
+	switch {
+	case j == nil && p.State.isFinal():
+		j = newEndedJob(id, p.State, p.Begun, now)
+		sc.jobs[id] = j
+		sc.retiredJobs = append(sc.retiredJobs, j)
+		return nil
+	case j == nil:
+		// Only the submissions of jobs that have ended are dropped.
+		sc.droppedKeys = append(sc.droppedKeys, id)
+		return errors.Newf("job in state %q without its submission", p.State)
+	}
 	j.state, j.reportedState, j.started = p.State, p.State, p.Begun
 	if j.hasEnded() {
-		j.endedAt = now
+		j.endedAt, j.endStored = now, true
 		sc.retireJob(j)
 		return nil
 	}
--- a/stand/store/client.go
+++ b/stand/store/client.go
@@ -31,6 +31,7 @@
 // Client is one instance's connection to the store. It implements spar.Store.
 type Client struct {
 	store  *Store
+	link   link
 	mu     sync.Mutex
 	faults Faults
 	random *rand.Rand
@@ -113,6 +114,9 @@
 	if write && f.lost {
 		return zero, delay.NoAnswer(ctx, callee, timeout)
 	}
+	if e := c.link.receive(ctx, answerBytes(out), timeout); e != nil {
+		return zero, e
+	}
 	if e := delay.Sleep(ctx, callee, callLatency/2); e != nil {
 		return zero, e
 	}
@@ -148,7 +152,11 @@
 
 // Newest implements spar.Store.
 func (c *Client) Newest(ctx context.Context, topic string) (spar.Batch, error) {
-	return call(ctx, c, false, func() (spar.Batch, error) { return c.store.Newest(topic), nil })
+	b, err := call(ctx, c, false, func() (newest, error) { return newest(c.store.Newest(topic)), nil })
+	if err != nil {
+		return spar.Batch{}, err
+	}
+	return spar.Batch(b), c.link.receivePages(ctx, b.Records)
 }
 
 // Join implements spar.Store.
