Owner: a takeover reads the submissions once, and one topic after another

Three topics were read at the same time, and their pages held up the answers to joins on a slow link.

The topics are read in turn.

--- a/entry/owner/takeover.go
+++ b/entry/owner/takeover.go
@@ -15,12 +15,15 @@
 	if !t.fence(ctx) {
 		return false
 	}
-	var batches [3]spar.Batch
-	if !forEach(ctx, []string{JobsTopic, stateTopic, link.OwnerTopic}, func(ctx context.Context, i int, topic string) bool { return t.readNewest(ctx, topic, &batches[i]) }) {
+	var entries, jobs, state spar.Batch
+	// One topic after another: pages of several at a time would hold up the answers to
+	// the joins on a slow link.
+	jobsReadAt := time.Now()
+	if !t.readNewest(ctx, JobsTopic, &jobs) || !t.readNewest(ctx, stateTopic, &state) || !t.readNewest(ctx, link.OwnerTopic, &entries) {
 		return false
 	}
-	jobs, state := batches[0], batches[1]
-	t.entries = batches[2].Records
+	t.jobs.ContinueFrom(jobs, jobsReadAt)
+	t.entries = entries.Records
 	t.predecessors.unsettled = t.findPredecessors(t.entries, state.Records)
 	t.settleOwn()
 	runs, workers := t.restore(jobs.Records, state.Records)
@@ -29,7 +32,7 @@
 		return false
 	}
 	t.restored.Store(true)
-	t.Info("state taken over", "epoch", t.epoch, "jobs", len(jobs.Records), "progress", len(state.Records), "took", time.Since(begun),
+	t.Info("state taken over", "epoch", t.epoch, "jobs", len(jobs.Records), "progress", len(state.Records), "bytes", recordsSize(jobs.Records)+recordsSize(state.Records), "took", time.Since(begun),
 		"runs", runs, "workers", workers, "wait", time.Until(t.predecessors.waitUntil), "earlier_owners", len(t.predecessors.unsettled))
 	t.Timer("takeover").Record(time.Since(begun))
 	return true
--- a/track/follower.go
+++ b/track/follower.go
@@ -30,6 +30,9 @@
 	// OnError receives the errors of reads, which are then repeated.
 	OnError func(error)
 
+	// startsAt is where Run begins to read after ContinueFrom.
+	startsAt  int64
+	continues bool
 	// freshNS is FreshAt in nanoseconds since startTime, 0 before the first read.
 	freshNS atomic.Int64
 	failing atomic.Bool
@@ -53,12 +56,23 @@
 // times that FreshAt computes from it.
 var startTime = time.Now()
 
+// ContinueFrom has Run begin behind the newest records that were read elsewhere, which it
+// does not pass on. sentAt is when they were requested. It is called before Run.
+func (f *Follower) ContinueFrom(newest spar.Batch, sentAt time.Time) {
+	f.startsAt, f.continues = newest.Next, true
+	f.freshNS.Store(int64(sentAt.Sub(startTime)))
+}
+
 // Run starts to follow the topic. Once the context has ended and the last read
 // has returned, the channel receives nil.
 func (f *Follower) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		next, wait := int64(-1), f.Wait
+		if f.continues {
+			// The answer tells at once whether anything was written since.
+			next, wait = f.startsAt, 0
+		}
 		for ctx.Err() == nil {
 			sent := time.Now()
 			readCtx, end := f.current.begin(ctx, sent, next >= 0 && wait > 0)
