Shard: the retention of an ended job counts from its end

Cause: each owner counted the retention of the jobs that it restored from its own takeover.

Change: the state of an ended job holds the time of its end, in a place that earlier builds ignore.

Evidence: TestRetentionIsNotCountedAnewByEachOwner failed before (no job had expired).

--- a/shard/ended_test.go
+++ b/shard/ended_test.go
@@ -59,3 +59,25 @@
 		t.Errorf("submission of a job with a run is to be dropped: %v", got)
 	}
 }
+
+// Owners change more often than the retention of a job lasts. Each must count it from the
+// end of the job, or the jobs that a takeover reads would grow without bound.
+func TestRetentionIsNotCountedAnewByEachOwner(t *testing.T) {
+	h := newHarness(t)
+	h.connect("n1")
+	for i, id := range []string{"j1", "j2"} {
+		a := h.submitAndStart(id, "checks", shortStep(1))
+		h.report("n1", ended(int64(i+1), a, spar.EndDone))
+		h.runCycle()
+		h.advance(limits.Retention / 4)
+	}
+	for range 2 {
+		h.replaceOwner(time.Second)
+		h.advance(limits.Retention / 4)
+	}
+	h.advance(time.Second)
+	if got := h.scheduler.ExpiredJobs(10, h.now); len(got) != 1 || got[0] != "j1" {
+		t.Errorf("expired jobs: %v, want j1", got)
+	}
+	h.expectState("j2", shard.Completed)
+}
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -1,7 +1,10 @@
 package shard
 
+import "time"
+
 // progress is the stored form of a job's state, and of the progress of its tasks unless
-// that is stored in parts. It and the types below are encoded as arrays, whose fields
+// that is stored in parts. That of a job that has ended has, in place of its occurrences,
+// one whose number is the time of the end in Unix seconds. It and the types below are encoded as arrays, whose fields
 // must stay as they are: a record with more or fewer cannot be read by another build.
 type progress struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
@@ -51,7 +54,22 @@
 }
 
 // encodeHead returns the stored form of a job's state without its tasks.
-func (j *job) encodeHead() []byte { return marshal(&progress{State: j.state, Begun: j.started}) }
+func (j *job) encodeHead() []byte {
+	p := progress{State: j.state, Begun: j.started}
+	if j.hasEnded() {
+		// A build that does not know the time of the end ignores the occurrences.
+		p.Occurs = []occurProgress{{Number: int(j.endedAt.Unix())}}
+	}
+	return marshal(&p)
+}
+
+// endedAt returns the time of day of a job's end, and false if it is not stored.
+func (p *progress) endedAt() (time.Time, bool) {
+	if !p.State.isFinal() || len(p.Occurs) != 1 {
+		return time.Time{}, false
+	}
+	return time.Unix(int64(p.Occurs[0].Number), 0), true
+}
 
 // encodeTasks returns the stored form of tasks in the order of their occurrences.
 func encodeTasks(tasks []*task, checkpoints bool) []occurProgress {
--- a/shard/restore.go
+++ b/shard/restore.go
@@ -31,9 +31,21 @@
 	load(false, func(r spar.Record) error { return sc.restoreJob(r.Key, r.Value, now, expires) })
 	load(true, func(r spar.Record) error { return sc.restoreOther(r, expires) })
 	sc.completeGangs(now)
+	slices.SortStableFunc(sc.retiredJobs, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
 	return out
 }
 
+// restoredEnd returns when a job has ended that an earlier owner has stored. Its retention
+// counts from then: if each owner counted it anew, jobs would be kept without bound while
+// owners change often.
+func (sc *Scheduler) restoredEnd(p *progress, now time.Time) time.Time {
+	at, ok := p.endedAt()
+	if !ok {
+		return now
+	}
+	return now.Add(-min(max(now.Sub(at), 0), sc.limits.Retention))
+}
+
 func (sc *Scheduler) restoreOther(r spar.Record, expires time.Time) error {
 	if r.Key == modelKey {
 		m, err := interf.Decode(r.Value)
@@ -61,7 +73,7 @@
 	j := sc.jobs[id]
 	switch {
 	case j == nil && p.State.isFinal():
-		j = newEndedJob(id, p.State, p.Begun, now)
+		j = newEndedJob(id, p.State, p.Begun, sc.restoredEnd(&p, now))
 		sc.jobs[id] = j
 		sc.retiredJobs = append(sc.retiredJobs, j)
 		return nil
@@ -72,7 +84,7 @@
 	}
 	j.state, j.reportedState, j.started = p.State, p.State, p.Begun
 	if j.hasEnded() {
-		j.endedAt, j.endStored = now, true
+		j.endedAt, j.endStored = sc.restoredEnd(&p, now), true
 		sc.retireJob(j)
 		return nil
 	}
