--- a/entry/owner/expiry.go
+++ b/entry/owner/expiry.go
@@ -23,8 +23,11 @@
 func (t *term) dropExpired(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		for ctx.Err() == nil {
-			track.Pause(ctx, expiryInterval)
+		for full := false; ctx.Err() == nil; {
+			if !full {
+				track.Pause(ctx, expiryInterval)
+			}
+			full = false
 			t.stateMu.Lock()
 			expired, ended := t.scheduler.ExpiredJobs(maxExpiredJobs, time.Now()), t.scheduler.EndedSubmissions(maxEndedSubmissions)
 			keys := t.handledDepartures
@@ -39,6 +42,7 @@
 			t.scheduler.SubmissionsDropped(ended)
 			t.scheduler.ForgetJobs(expired)
 			t.handledDepartures = t.handledDepartures[len(keys):]
+			full = len(expired) == maxExpiredJobs || len(ended) == maxEndedSubmissions
 			t.stateMu.Unlock()
 			t.wakeLoop()
 		}
