--- a/shard/restore.go
+++ b/shard/restore.go
@@ -31,9 +31,21 @@
 	load(false, func(r spar.Record) error { return sc.restoreJob(r.Key, r.Value, now, expires) })
 	load(true, func(r spar.Record) error { return sc.restoreOther(r, expires) })
 	sc.completeGangs(now)
+	slices.SortStableFunc(sc.retiredJobs, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
 	return out
 }
 
+// restoredEnd returns when a job has ended that an earlier owner has stored. Its retention
+// counts from then: if each owner counted it anew, jobs would be kept without bound while
+// owners change often.
+func (sc *Scheduler) restoredEnd(p *progress, now time.Time) time.Time {
+	at, ok := p.endedAt()
+	if !ok {
+		return now
+	}
+	return now.Add(-min(max(now.Sub(at), 0), sc.limits.Retention))
+}
+
 func (sc *Scheduler) restoreOther(r spar.Record, expires time.Time) error {
 	if r.Key == modelKey {
 		m, err := interf.Decode(r.Value)
@@ -54,19 +66,25 @@
 // restoreJob loads the state of a job, and the progress of its tasks if it was stored
 // as a whole.
 func (sc *Scheduler) restoreJob(id string, value []byte, now, expires time.Time) error {
-	j := sc.jobs[id]
-	if j == nil {
-		// The owner ended after it had dropped the submission.
-		sc.droppedKeys = append(sc.droppedKeys, id)
-		return nil
-	}
 	p, err := codec.Decode[progress](value)
 	if err != nil {
 		return err
 	}
+	j := sc.jobs[id]
+	switch {
+	case j == nil && p.State.isFinal():
+		j = newEndedJob(id, p.State, p.Begun, sc.restoredEnd(&p, now))
+		sc.jobs[id] = j
+		sc.retiredJobs = append(sc.retiredJobs, j)
+		return nil
+	case j == nil:
+		// Only the submissions of jobs that have ended are dropped.
+		sc.droppedKeys = append(sc.droppedKeys, id)
+		return errors.Newf("job in state %q without its submission", p.State)
+	}
 	j.state, j.reportedState, j.started = p.State, p.State, p.Begun
 	if j.hasEnded() {
-		j.endedAt = now
+		j.endedAt, j.endStored = sc.restoredEnd(&p, now), true
 		sc.retireJob(j)
 		return nil
 	}
