Owner: departures that take a second to read arrive

Callers saw: after a change of the owner, tasks of workers that had left wait for the end of their leases, although the other entries know that the workers have left.

Cause: a new owner gave each question about departures 0.3 s, and asked again for 5 s. An end takes 58 bytes: 57 workers with 115 ends each are 380 kB, which a link of 10 Mbit/s takes longer for. No answer arrived, and the repeated ones filled the link that the joins and the reads of the takeover share.

Change: the limit of a question doubles up to 1.2 s, within the 5 s as before. Two entries may then hold 750 kB each.

Evidence: TestDeparturesThatTakeASecondArrive, with an answer that takes 1 s. Before: not read after 5.1 s, the tasks not started. Now: read within 2 s. The size of an end is measured from encoded messages; no play with a link of that rate was run.

--- a/entry/owner/departure_sync.go
+++ b/entry/owner/departure_sync.go
@@ -20,6 +20,9 @@
 	// collectTime bounds the questions of a new owner to the other entries. Later the
 	// leases on most of the workers are over.
 	collectTime = 5 * time.Second
+	// maxCollectTimeout bounds one question. Its limit doubles from askTimeout, since many
+	// departures take a while on a slow link.
+	maxCollectTimeout = 4 * askTimeout
 )
 
 // answerDepartures answers with the departures that this entry keeps.
@@ -77,9 +80,9 @@
 
 // collectFrom applies the departures that another entry keeps.
 func (t *term) collectFrom(ctx context.Context, address string) {
-	for ctx.Err() == nil {
+	for limit := askTimeout; ctx.Err() == nil; limit = min(2*limit, maxCollectTimeout) {
 		begun := time.Now()
-		departures, err := t.askDepartures(address)
+		departures, err := t.askDepartures(address, capToDeadline(ctx, limit))
 		if err == nil {
 			for _, d := range departures {
 				t.applyReported(d)
@@ -93,8 +96,8 @@
 	}
 }
 
-func (t *term) askDepartures(address string) ([]link.Departure, error) {
-	code, body, err := t.peers.Call(fasthttp.MethodGet, address, departuresPath, nil, askTimeout)
+func (t *term) askDepartures(address string, limit time.Duration) ([]link.Departure, error) {
+	code, body, err := t.peers.Call(fasthttp.MethodGet, address, departuresPath, nil, limit)
 	switch {
 	case err != nil:
 		return nil, err
--- a/entry/owner/departure_sync_test.go
+++ b/entry/owner/departure_sync_test.go
@@ -55,3 +55,42 @@
 		tm.cancel()
 	})
 }
+
+// slowPeers are keepingPeers whose answers take a while.
+type slowPeers struct {
+	keepingPeers
+	duration time.Duration
+}
+
+func (p slowPeers) Call(method, address, path string, body []byte, limit time.Duration) (int, []byte, error) {
+	if p.duration > limit {
+		time.Sleep(limit)
+		return 0, nil, fasthttp.ErrTimeout
+	}
+	time.Sleep(p.duration)
+	return p.keepingPeers.Call(method, address, path, body, limit)
+}
+
+// The departures of many workers take a second on a slow link. With a fixed limit the
+// question was given up and asked again, so that the answers filled the link and none
+// arrived.
+func TestDeparturesThatTakeASecondArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newDepartureBench(t)
+		other := &Candidate{Common: b.candidate.Common, clock: b.candidate.clock}
+		other.kept.add(link.Departure{Node: "n1", Life: departedLife, Left: true}, other.clock())
+		b.candidate.peers = slowPeers{keepingPeers{"e1": other}, time.Second}
+		tm := b.beginTerm(8)
+		begun := time.Now()
+		entries := []spar.Record{{Key: link.EntryPrefix + "e1", Value: link.EntryRecord{PeerAddress: "e1"}.Encode()}}
+		if err := <-tm.collectDepartures(tm.ctx, entries); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(begun); took > 2*time.Second {
+			t.Errorf("the departures arrived after %s, if at all, want 2s at most", took)
+		}
+		b.connect(tm, "n2")
+		b.expectStarts(tm, 2, 2)
+		tm.cancel()
+	})
+}
