Agent: a worker's end that an owner has heard is told to all entries too

What callers saw: a standing task that waited for the leases on a worker that was gone. The owner had heard in a session that a worker without known runs had left, could not store it and was killed. Its agent told nobody else, since it knew of no run and of an owner that had been told; but an owner may have stored a run whose order never reached the worker.

Change: the end of every worker that leaves is told to all entries at once, whether its agent knows of runs or not, and whoever has heard it. That is one short message to each entry.

Tests: exec.TestAllEntriesAreToldOfADepartureThatTheOwnerHasHeard failed before ("0 entries were told, want 3"). TestNothingIsToldOfAWorkerThatLeavesInOrder wanted no message for a worker without runs, which is this fault: a message in the owner's memory is all that was left of it. TestWorkerThatLeavesInOrderIsToldOnce replaces it: still none while the worker drains, then exactly one to each entry, of no end.

--- a/agent/exec/departure.go
+++ b/agent/exec/departure.go
@@ -21,19 +21,10 @@
 }
 
 // recordLeft records that the worker had deregistered and then did not answer a call.
-func (l *lifeRecord) recordLeft(now time.Duration) {
+func (l *lifeRecord) recordLeft() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.left {
-		l.left, l.leftAt = true, now
-	}
-}
-
-// recordLeftReported records that an owner was told in a session that the worker has left.
-func (l *lifeRecord) recordLeftReported() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.leftReported = true
+	l.left = true
 }
 
 func (l *lifeRecord) hasLeft() bool {
@@ -44,15 +35,15 @@
 
 // departure returns what the store may not know of this life, or nil. While the worker is
 // draining these are ends that have not been acknowledged for a while, and after it has
-// left, that its last runs and unacknowledged ends are over. A worker without any may still
-// count as having runs that never reached it, so that is told unless an owner knows it.
+// left, that its runs are over. One without any may still count as having runs that never
+// reached it, and an owner that was told of its end in a session may be killed before it
+// has stored that.
 func (l *lifeRecord) departure(draining bool, now time.Duration) *link.Departure {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.left && len(l.starts)+len(l.ends.listed) > 0:
-	case l.left && !l.leftReported && now-l.leftAt >= minUnackedAge:
-	case !l.left && draining && l.ends.age(now) >= minUnackedAge:
+	case l.left:
+	case draining && l.ends.age(now) >= minUnackedAge:
 	default:
 		return nil
 	}
@@ -91,7 +82,7 @@
 	if ctx.Err() != nil || !e.heartbeats.HasLeft(l.life) || !isOver && !e.heartbeats.HadLeft(l.life, begun) {
 		return false
 	}
-	l.recordLeft(e.clock())
+	l.recordLeft()
 	e.departures.wake()
 	return true
 }
--- a/agent/exec/life.go
+++ b/agent/exec/life.go
@@ -29,10 +29,8 @@
 	disconnected bool
 	// ends are those that no owner has acknowledged.
 	ends unackedEnds
-	// left reports that the worker had deregistered and then did not answer a call, since
-	// leftAt at the latest, and leftReported that an owner was told so in a session.
-	left, leftReported bool
-	leftAt             time.Duration
+	// left reports that the worker had deregistered and then did not answer a call.
+	left bool
 }
 
 // runStart is the start of a run.
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -155,7 +155,6 @@
 		return errors.CombineErrors(cause, err)
 	}
 	s.leaveReportedEpoch = s.epoch
-	s.life.recordLeftReported()
 	return errors.Wrap(cause, "worker has left")
 }
 
