Owner: the departure of a later life ends the one before it on that node

The owner that saw the new life could not store that and was killed. The next one knew the runs of the crashed life alone. All entries had been told of the departure of the later life, and it had no effect, since it names another life than the stored one.

Change: a departure ends the life that the owner knows if that is an earlier one of the same node and has another name, as a session of the later life does (Connect). A later life of the same name ends nothing, as an order to the earlier one may be carried out late in it. ApplyDeparture returns which life ended, so that this one is handed over if the term can not store it.

The tests of ApplyDeparture only follow its new result.

--- a/entry/owner/departures.go
+++ b/entry/owner/departures.go
@@ -91,8 +91,8 @@
 func (t *term) applyReported(d link.Departure) {
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
-	if t.scheduler.ApplyDeparture(d, time.Now()) {
-		t.departures.add(d.Life)
+	if life, over := t.scheduler.ApplyDeparture(d, time.Now()); over {
+		t.departures.add(life)
 	}
 	t.wakeLoop()
 }
@@ -101,8 +101,8 @@
 // Later ones are applied when they arrive. The term's lock is held.
 func (t *term) applyKept(now time.Time) {
 	for _, d := range t.kept.list(t.clock()) {
-		if t.scheduler.ApplyDeparture(d, now) {
-			t.departures.add(d.Life)
+		if life, over := t.scheduler.ApplyDeparture(d, now); over {
+			t.departures.add(life)
 		}
 	}
 }
--- a/shard/departure.go
+++ b/shard/departure.go
@@ -4,22 +4,27 @@
 	"fmt"
 	"time"
 
+	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/link"
 )
 
 // ApplyDeparture applies what an agent has told all entries of a worker that leaves. It
-// reports whether the worker's life ended by that.
+// returns the life that ended by that, and false if none did.
 //
 // A departure may arrive several times, after the agent has reported the same in its
 // session, or after an earlier owner has stored it. So it has an effect only on the life
-// that it names, and its ends only on runs that still count as present there. The agent
-// reports the ends in its next session too, which acknowledges them.
-func (sc *Scheduler) ApplyDeparture(d link.Departure, now time.Time) bool {
+// that it names and on the one before it, and its ends only on runs that still count as
+// present there. The agent reports the ends in its next session too, which acknowledges
+// them.
+func (sc *Scheduler) ApplyDeparture(d link.Departure, now time.Time) (spar.Life, bool) {
 	w := sc.workers[d.Node]
-	if w == nil || w.info.Life != d.Life {
-		return false
+	if w == nil {
+		return spar.Life{}, false
 	}
 	sc.now = now
+	if w.info.Life != d.Life {
+		return w.info.Life, sc.endEarlierLife(w, d.Life)
+	}
 	ends := 0
 	for _, e := range d.Ended {
 		if sc.findRun(w, e.Task, e.Run) != nil {
@@ -28,11 +33,23 @@
 		}
 	}
 	if ends == 0 && !d.Left {
-		return false
+		return spar.Life{}, false
 	}
 	sc.onEvent(Event{Name: "departure applied", Node: w.node, Reason: fmt.Sprintf("%s born %d, %d ends, left %v", d.Life.ID, d.Life.Born, ends, d.Left)})
 	if d.Left {
 		sc.endLife(w, "worker has left")
 	}
-	return d.Left
+	return d.Life, d.Left
+}
+
+// endEarlierLife ends the life of a worker whose node has had a later one, and reports
+// whether it did. An order to the earlier life may be carried out late in one of the same
+// name, so that does not end it; see Connect.
+func (sc *Scheduler) endEarlierLife(w *worker, later spar.Life) bool {
+	if w.info.Life.Born >= later.Born || w.info.Life.ID == later.ID {
+		return false
+	}
+	sc.onEvent(Event{Name: "worker in a new life", Node: w.node, Reason: later.ID})
+	sc.endLife(w, "worker in a new life")
+	return true
 }
--- a/shard/departure_test.go
+++ b/shard/departure_test.go
@@ -32,7 +32,7 @@
 	h.connect("n2")
 	h.expectStarts(h.runCycle(), 0)
 	d := departureOf("n1", true, endOf(1, orders["done"], spar.EndDone))
-	if !h.scheduler.ApplyDeparture(d, h.now) {
+	if _, over := h.scheduler.ApplyDeparture(d, h.now); !over {
 		t.Fatal("the life counts as going on")
 	}
 	again := h.expectStarts(h.runCycle(), 1)[0]
@@ -40,7 +40,7 @@
 		t.Fatalf("run %d of %v starts", again.Run, again.Task)
 	}
 	h.expectState("done", shard.Completed)
-	if h.scheduler.ApplyDeparture(d, h.now) {
+	if _, over := h.scheduler.ApplyDeparture(d, h.now); over {
 		t.Error("the life ends a second time")
 	}
 	h.expectStarts(h.runCycle(), 0)
@@ -60,7 +60,7 @@
 	h.connect("n2")
 	e := endOf(4, orders[0], spar.EndStopped)
 	e.Checkpoint = "c1"
-	if h.scheduler.ApplyDeparture(departureOf("n1", false, e), h.now) {
+	if _, over := h.scheduler.ApplyDeparture(departureOf("n1", false, e), h.now); over {
 		t.Fatal("the life of a draining worker counts as over")
 	}
 	m := h.runCycle()
@@ -104,14 +104,14 @@
 			o := h.submitAndStart("j1", "checks", shortStep(1))
 			h.report("n1", started(o))
 			for range 2 {
-				if h.scheduler.ApplyDeparture(departureOf("n1", true, endOf(1, o, spar.EndFailed)), h.now) {
+				if _, over := h.scheduler.ApplyDeparture(departureOf("n1", true, endOf(1, o, spar.EndFailed)), h.now); over {
 					t.Error("the later life ends")
 				}
 				h.connect("n2")
 				h.expectStarts(h.runCycle(), 0)
 				h.replaceOwner(12 * time.Second)
 			}
-			if h.scheduler.ApplyDeparture(departureOf("unknown", true, endOf(1, o, spar.EndDone)), h.now) {
+			if _, over := h.scheduler.ApplyDeparture(departureOf("unknown", true, endOf(1, o, spar.EndDone)), h.now); over {
 				t.Error("an unknown life ends")
 			}
 			h.connectLife("n1", later, spar.Running{Task: o.Task, Run: o.Run})
@@ -121,3 +121,32 @@
 		})
 	}
 }
+
+// A worker crashes, is back under another name and leaves. The owner that saw the new life
+// could not store that, and is killed; the agent is gone with its machine. The next owner,
+// which knows the runs of the crashed life alone, must not wait for leases on it. An order
+// to that life may be carried out late in one of the same name, so that must be waited for.
+func TestDepartureOfALaterLifeEndsTheEarlierOne(t *testing.T) {
+	for name, tt := range map[string]struct {
+		later  spar.Life
+		starts int
+	}{"other name": {spar.Life{ID: "i-2", Born: 2}, 1}, "same name": {spar.Life{ID: "i-n1", Born: 2}, 0}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.connect("n1")
+			h.submitAndStart("j1", "checks", shortStep(1))
+			h.replaceOwner(12 * time.Second)
+			h.connect("n2")
+			h.expectStarts(h.runCycle(), 0)
+			d := link.Departure{Node: "n1", Life: tt.later, Left: true}
+			ended, over := h.scheduler.ApplyDeparture(d, h.now)
+			if want := (spar.Life{ID: "i-n1", Born: 1}); over != (tt.starts > 0) || over && ended != want {
+				t.Errorf("life %v ended: %v", ended, over)
+			}
+			h.expectStarts(h.runCycle(), tt.starts)
+			if _, over := h.scheduler.ApplyDeparture(d, h.now); over {
+				t.Error("a life ends a second time")
+			}
+		})
+	}
+}
