Owner: an error does not print the age of submissions that were not read

Callers saw: "submissions were last read 2562047h47m16s ago" for a job that is not known to an owner that has not read the submissions.

Cause: the zero time of the last read was printed as an age.

Change: the error says that they have not been read yet.

Evidence: TestSubmissionsThatWereNotReadHaveNoAge fails on the code before with that text.

--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -97,12 +97,27 @@
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
 	s, ok := t.scheduler.JobState(id)
-	if age := time.Since(t.jobs.FreshAt()); !ok && (age > maxSubmissionsAge || t.jobs.IsFailing()) {
-		return reply{}, errors.Wrapf(ErrUnreachable, "job %s is not known, and submissions were last read %s ago (last read failed: %v)", id, age, t.jobs.IsFailing())
+	if !ok {
+		if err := t.checkSubmissionsRead(); err != nil {
+			return reply{}, errors.Wrapf(err, "job %s is not known", id)
+		}
 	}
 	return reply{State: s, Known: ok, Failure: t.scheduler.JobFailure(id)}, nil
 }
 
+// checkSubmissionsRead returns an error if a submission that was accepted a while ago may
+// not have been read yet.
+func (t *term) checkSubmissionsRead() error {
+	readAt, failing := t.jobs.FreshAt(), t.jobs.IsFailing()
+	switch age := time.Since(readAt); {
+	case readAt.IsZero():
+		return errors.Wrap(ErrUnreachable, "submissions have not been read yet")
+	case age > maxSubmissionsAge || failing:
+		return errors.Wrapf(ErrUnreachable, "submissions were last read %s ago (last read failed: %v)", age, failing)
+	}
+	return nil
+}
+
 func (t *term) waitingIn(queue string) (reply, error) {
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
--- a/entry/owner/client_test.go
+++ b/entry/owner/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,3 +43,13 @@
 		<-done
 	})
 }
+
+// An owner that has not read the submissions yet is asked for a job. The error must say
+// so: an age of 292 years points at the clock.
+func TestSubmissionsThatWereNotReadHaveNoAge(t *testing.T) {
+	tm := newTestTerm(store.NewClient(&store.Store{}, 1))
+	_, err := tm.stateOf("5c0e7a21d94b36f8")
+	if !errors.Is(err, ErrUnreachable) || strings.Contains(err.Error(), "ago") || !strings.Contains(err.Error(), "not been read yet") {
+		t.Errorf("got %v, want that submissions have not been read yet", err)
+	}
+}
