Shard: the retention of a job counts from when its end is stored

Callers saw: a job that has ended is answered as unknown sooner than its retention after its end was shown, by the time for which the store was away in between. If the end can not be stored for the whole retention, the job is never shown as ended: it goes from running to unknown.

Cause: the retention counted from the decision that the job has ended. An expired job was forgotten whether its end was stored or not; its submission was dropped first, so that the next owner found its progress without it and dropped that too.

Change: the retention counts from when the end is stored, and only jobs whose end is stored expire.

Evidence: TestRetentionCountsFromTheStoredEnd fails on the code before ("expired before the end is stored").

--- a/prove/simul/jobs_test.go
+++ b/prove/simul/jobs_test.go
@@ -37,6 +37,9 @@
 	if j := s.jobs[t.Job]; j.crashing != nil && j.crashing(t) {
 		return crashDelay, worker.EndCrash
 	}
+	if d := s.jobs[t.Job].runTime; d > 0 {
+		return d, spar.EndDone
+	}
 	if s.jobs[t.Job].Steps[t.Step].Standing {
 		if !s.fixedWorkload && s.random.Float64() < 0.1 {
 			return time.Duration(500+s.random.IntN(8000)) * time.Millisecond, spar.EndFailed
@@ -134,6 +137,7 @@
 func (s *simulation) submitJob(e *entry, j *job) {
 	s.mu.Lock()
 	s.jobs[j.ID] = j
+	s.submitted = append(s.submitted, j.ID)
 	s.mu.Unlock()
 	go s.retryUntilStored(e, func(ctx context.Context) error {
 		err := e.asker.Submit(ctx, j.Job)
--- a/prove/simul/relay_test.go
+++ b/prove/simul/relay_test.go
@@ -38,7 +38,7 @@
 	d.scope = tally.NewTestScope("", nil)
 	c.Scope = d.scope
 	watch := config.NewWatcher(c, d.client, topic, s.decodeChange)
-	o := owner.NewCandidate(c, ownerSettings(), d.client, nil, watch, name, link.EntryRecord{AgentAddress: name, PeerAddress: peers.Addr().String()},
+	o := owner.NewCandidate(c, s.ownerSettings(), d.client, nil, watch, name, link.EntryRecord{AgentAddress: name, PeerAddress: peers.Addr().String()},
 		s.net.listen(name, name), func() time.Duration { return time.Since(s.startedAt) }, owner.NewHTTPPeers())
 	d.place = track.NewDirectory(d.client, time.Second, func(error) {})
 	d.asker = owner.NewClient(c, o, d.place)
--- a/prove/simul/retention_test.go
+++ b/prove/simul/retention_test.go
@@ -35,7 +35,7 @@
 					s.submitJob(s.entries[i%3], &job{Job: jobOf(fmt.Sprintf("%016x", i), 3)})
 				}
 				s.expectAllEnd(ctx, 10*time.Second)
-				starts, retention := s.checker.StartCount(), time.Duration(ownerSettings().KeepMS)*time.Millisecond
+				starts, retention := s.checker.StartCount(), s.retention()
 				track.Pause(ctx, retention-3*time.Second)
 				s.setStoreFaults(store.Faults{RefuseTopic: tt.down})
 				track.Pause(ctx, 10*time.Second)
--- a/prove/simul/rule_test.go
+++ b/prove/simul/rule_test.go
@@ -70,10 +70,13 @@
 	}
 }
 
+// isCalm reports whether nothing has disturbed the deployment for calmTime.
+func (r *standingRule) isCalm() bool { return time.Since(r.disturbedAt) >= calmTime }
+
 // violations returns the standing tasks that must run now and do not.
 func (r *standingRule) violations() []string {
 	now := time.Now()
-	isCalm := now.Sub(r.disturbedAt) >= calmTime
+	isCalm := r.isCalm()
 	if isCalm {
 		r.calmChecks++
 	}
--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -1,6 +1,7 @@
 package simul_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -46,6 +47,8 @@
 
 	mu   sync.Mutex
 	jobs map[string]*job
+	// submitted are the IDs of the jobs in the order of their submission.
+	submitted []string
 	// closedAt is when each domain that is closed now was closed.
 	closedAt     map[string]time.Time
 	rulesVersion int64
@@ -57,6 +60,8 @@
 	// succeed.
 	fixedWorkload bool
 	runTime       time.Duration
+	// keepMS is how long an ended job can still be queried, 0 for the default.
+	keepMS int64
 }
 
 // job is a submitted job. cancelledAt is zero until its cancel was accepted.
@@ -70,6 +75,8 @@
 	cancelRequested bool
 	// crashing, if set, reports whether a task crashes the workers that start it.
 	crashing func(spar.TaskRef) bool
+	// runTime, if set, is how long each run lasts, which then succeeds.
+	runTime time.Duration
 }
 
 type entry struct {
@@ -107,11 +114,14 @@
 
 var workerSize = spar.Size{CPUMilli: 4000, MemoryMB: 8000}
 
-func newSimulation(ctx context.Context, t *testing.T, seed uint64, entries, nodes int, out io.Writer) *simulation {
+func newSimulation(ctx context.Context, t *testing.T, seed uint64, entries, nodes int, out io.Writer, options ...func(*simulation)) *simulation {
 	s := &simulation{
 		t: t, ctx: ctx, seed: seed, random: rand.New(rand.NewPCG(seed, 5)), startedAt: time.Now(), store: &store.Store{},
 		net: newNetwork(), checker: worker.NewInvariantChecker(), jobs: map[string]*job{}, closedAt: map[string]time.Time{}, out: out,
 	}
+	for _, set := range options {
+		set(s)
+	}
 	s.checker.MaxAttempts = 3
 	s.checker.StartForbidden = s.startForbidden
 	s.checker.IsStanding = s.isStanding
@@ -181,18 +191,25 @@
 	c := s.common(name)
 	watch := config.NewWatcher(c, e.storeClient, topic, s.decodeChange)
 	clock := func() time.Duration { return time.Since(s.startedAt) }
-	e.owner = owner.NewCandidate(c, ownerSettings(), e.storeClient, nil, watch, name, link.EntryRecord{AgentAddress: e.name, PeerAddress: e.name}, s.net.listen(e.name, name), clock, peerCaller{s.net, e.name})
+	e.owner = owner.NewCandidate(c, s.ownerSettings(), e.storeClient, nil, watch, name, link.EntryRecord{AgentAddress: e.name, PeerAddress: e.name}, s.net.listen(e.name, name), clock, peerCaller{s.net, e.name})
 	routes := router.New()
 	e.owner.AddRoutes(routes)
 	s.net.setPeer(e.name, routes.Handler)
-	e.asker = owner.NewClient(c, e.owner, track.NewDirectory(e.storeClient, time.Second, func(error) {}))
-	e.cancel, e.ends = cancel, []<-chan error{watch.Run(ctx), e.owner.Run(ctx)}
+	directory := track.NewDirectory(e.storeClient, time.Second, func(error) {})
+	e.asker = owner.NewClient(c, e.owner, directory)
+	e.cancel, e.ends = cancel, []<-chan error{watch.Run(ctx), e.owner.Run(ctx), directory.Run(ctx)}
 }
 
-func ownerSettings() owner.Settings {
-	s := owner.DefaultSettings()
-	s.Partitions = store.Partitions
-	return s
+func (s *simulation) ownerSettings() owner.Settings {
+	out := owner.DefaultSettings()
+	out.Partitions = store.Partitions
+	out.KeepMS = cmp.Or(s.keepMS, out.KeepMS)
+	return out
+}
+
+// retention is how long an ended job can still be queried.
+func (s *simulation) retention() time.Duration {
+	return time.Duration(s.ownerSettings().KeepMS) * time.Millisecond
 }
 
 // killEntry stops an entry that can no longer reach the store and the agents, so
--- a/prove/simul/standing_random_test.go
+++ b/prove/simul/standing_random_test.go
@@ -26,16 +26,33 @@
 // spells between them. A standing task that nothing disturbs must run again within
 // seconds if a worker has room for it: it must not wait for leases on workers that are
 // gone, or for a worker that is wrongly taken for full or unfit.
-func TestStandingTasksRunAgainAfterRandomFaults(t *testing.T) { playStandingSeeds(t, false) }
+func TestStandingTasksRunAgainAfterRandomFaults(t *testing.T) {
+	playStandingSeeds(t, func(uint64) standingOptions { return standingOptions{} })
+}
 
 // As above beside tasks that crash their workers: their trials must not hold standing
 // tasks back.
-func TestStandingTasksRunAgainBesideTasksThatCrashWorkers(t *testing.T) { playStandingSeeds(t, true) }
+func TestStandingTasksRunAgainBesideTasksThatCrashWorkers(t *testing.T) {
+	playStandingSeeds(t, func(uint64) standingOptions { return standingOptions{crashingTasks: true} })
+}
 
-func playStandingSeeds(t *testing.T, crashingTasks bool) {
+// standingOptions are the options of random runs with standing tasks.
+type standingOptions struct {
+	crashingTasks bool
+	// keptJobs is the number of jobs that end before the first fault and can still be
+	// queried. With resubmits, callers repeat submissions of jobs that have ended.
+	keptJobs  int
+	resubmits bool
+	// linkRate limits the links of the entries, 0 for no limit.
+	linkRate int
+	// keepMS is how long an ended job can be queried, 0 for the default.
+	keepMS int64
+}
+
+func playStandingSeeds(t *testing.T, options func(seed uint64) standingOptions) {
 	for seed := *first; seed < *first+*seeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runStandingTasks(t, seed, crashingTasks) })
+			synctest.Test(t, func(t *testing.T) { runStandingTasks(t, seed, options(seed)) })
 		})
 	}
 }
@@ -43,19 +60,26 @@
 // standingPlay is a random run with standing tasks.
 type standingPlay struct {
 	standingRule
-	// draws decides on the faults and jobs beside those of injectRandomFault.
-	draws *rand.Rand
+	standingOptions
+	owner   ownerRule
+	answers *answerRule
+	// draws decides on the faults and jobs beside those of injectRandomFault, and
+	// repeats on the submissions that are repeated.
+	draws, repeats *rand.Rand
 }
 
-func runStandingTasks(t *testing.T, seed uint64, crashingTasks bool) {
+func runStandingTasks(t *testing.T, seed uint64, o standingOptions) {
 	ctx, cancel := context.WithCancel(t.Context())
 	var logs bytes.Buffer
 	out := io.Writer(&logs)
 	if !*verbose {
 		out = io.Discard
 	}
-	s := newSimulation(ctx, t, seed, 3, 5, &lockedWriter{w: out})
-	s.crashingTasks = crashingTasks
+	s := newSimulation(ctx, t, seed, 3, 5, &lockedWriter{w: out}, func(s *simulation) { s.keepMS = o.keepMS })
+	s.crashingTasks = o.crashingTasks
+	for _, e := range s.entries {
+		e.storeClient.SetLinkRate(o.linkRate)
+	}
 	workersStopped := make(chan struct{})
 	go s.runWorkers(workersStopped)
 	defer func() {
@@ -64,8 +88,12 @@
 			os.Stdout.Write(logs.Bytes())
 		}
 	}()
-	p := &standingPlay{standingRule: standingRule{simulation: s, disturbedAt: time.Now()}, draws: rand.New(rand.NewPCG(seed, 11))}
+	p := &standingPlay{
+		standingRule: standingRule{simulation: s, disturbedAt: time.Now()}, standingOptions: o, owner: ownerRule{simulation: s}, answers: newAnswerRule(s),
+		draws: rand.New(rand.NewPCG(seed, 11)), repeats: rand.New(rand.NewPCG(seed, 17)),
+	}
 	p.pause(ctx, 3*time.Second)
+	p.submitKeptJobs(ctx)
 	p.submitStandingJob()
 	p.submitStandingJob()
 	for end := time.Now().Add(faultTime); time.Now().Before(end); {
@@ -77,25 +105,34 @@
 		s.injectRandomFault()
 		p.disturb(time.Now())
 		p.injectStandingFault()
+		p.resubmit()
 	}
 	s.clearFaults()
 	p.disturb(time.Now())
 	p.beQuiet(ctx)
 	p.cancelStandingJobs()
+	p.awaitEnds(ctx)
+	s.expectNoneGivenUpWithoutCause()
+	t.Logf("standing tasks had to run for %s, callers got %d answers", time.Duration(p.calmChecks)*ruleInterval, p.answers.answered)
+	if o.keepMS > 0 {
+		p.expectForgotten(ctx)
+	}
+	if p.calmChecks == 0 {
+		t.Fatal("no moment at which a standing task had to run")
+	}
+}
+
+// awaitEnds waits until all jobs were shown as ended.
+func (p *standingPlay) awaitEnds(ctx context.Context) {
 	for end := time.Now().Add(recoveryLimit); ; p.pause(ctx, time.Second) {
-		left := s.unfinishedJobs()
+		left := p.answers.activeJobs()
 		if len(left) == 0 {
-			break
+			return
 		}
 		if time.Now().After(end) {
-			t.Fatalf("jobs not ended %s after the last fault: %v", recoveryLimit, left)
+			p.t.Fatalf("jobs not ended %s after the last fault: %v, owner knows as not ended: %v", recoveryLimit, left, p.unfinishedJobs())
 		}
 	}
-	s.expectNoneGivenUpWithoutCause()
-	t.Logf("standing tasks had to run for %s", time.Duration(p.calmChecks)*ruleInterval)
-	if p.calmChecks == 0 {
-		t.Fatal("no moment at which a standing task had to run")
-	}
 }
 
 // pause waits, and runs due actions and checks the invariants and the rule meanwhile.
@@ -105,7 +142,10 @@
 		p.disturbByPending()
 		p.runDue(time.Now())
 		p.expectNoViolations()
-		if v := p.violations(); len(v) > 0 {
+		v := p.violations()
+		v = append(v, p.owner.violations(p.isCalm())...)
+		v = append(v, p.answers.violations(p.isCalm())...)
+		if len(v) > 0 {
 			p.t.Fatalf("after %s: %v", time.Since(p.startedAt), v)
 		}
 	}
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -154,7 +154,9 @@
 		if j.reportedState != Cancelled {
 			j.reportedState = s
 		}
-		j.endStored = s.isFinal() && !c.refusedJobs[j]
+		if s.isFinal() && !j.endStored && !c.refusedJobs[j] {
+			j.endStored, j.endedAt = true, sc.now
+		}
 	}
 	for w, n := range c.acks {
 		if w.lifeEnded {
--- a/shard/ended_test.go
+++ b/shard/ended_test.go
@@ -59,3 +59,28 @@
 		t.Errorf("submission of a job with a run is to be dropped: %v", got)
 	}
 }
+
+// The end of a job can not be stored for longer than its retention. The job must be kept:
+// callers still see it as running, and the next owner would find its progress without its
+// submission and forget it.
+func TestRetentionCountsFromTheStoredEnd(t *testing.T) {
+	h := newHarness(t)
+	h.connect("n1")
+	a := h.submitAndStart("j1", "checks", shortStep(1))
+	h.report("n1", ended(1, a, spar.EndDone))
+	h.advance(limits.Retention + time.Second)
+	h.scheduler.Tick(h.now, h.now)
+	if got := h.scheduler.ExpiredJobs(10, h.now); len(got) != 0 {
+		t.Fatalf("expired before the end is stored: %v", got)
+	}
+	h.runCycle()
+	h.expectState("j1", shard.Completed)
+	h.advance(limits.Retention - time.Second)
+	if got := h.scheduler.ExpiredJobs(10, h.now); len(got) != 0 {
+		t.Errorf("expired %s after the end was shown: %v", limits.Retention-time.Second, got)
+	}
+	h.advance(2 * time.Second)
+	if got := h.scheduler.ExpiredJobs(10, h.now); len(got) != 1 {
+		t.Errorf("expired after the retention: %v, want j1", got)
+	}
+}
--- a/shard/expiry.go
+++ b/shard/expiry.go
@@ -37,7 +37,7 @@
 func (sc *Scheduler) ExpiredJobs(limit int, now time.Time) []string {
 	var out []string
 	for _, j := range sc.retiredJobs {
-		if len(out) == limit || now.Sub(j.endedAt) <= sc.limits.Retention || sc.hasRuns(j) {
+		if len(out) == limit || !j.endStored || now.Sub(j.endedAt) <= sc.limits.Retention || sc.hasRuns(j) {
 			break
 		}
 		out = append(out, j.ID)
--- a/shard/job.go
+++ b/shard/job.go
@@ -34,8 +34,8 @@
 	started bool
 	// failure says why the job has failed.
 	failure string
-	// endedAt is when the job reached its final state, endStored reports whether that is
-	// stored, and submissionDropped whether the submission was dropped since.
+	// endedAt is when the job reached its final state, or when that was stored, which
+	// endStored reports; submissionDropped reports whether the submission was dropped since.
 	endedAt                      time.Time
 	endStored, submissionDropped bool
 	// firstSeen is when this owner first saw the job.
