--- a/shard/commit.go
+++ b/shard/commit.go
@@ -25,6 +25,10 @@
 	maxModelBytes = 128 << 10
 )
 
+// maxEndDelay is the time that storing the end of a job may take before the time of the end
+// is stored again.
+const maxEndDelay = 5 * time.Second
+
 // Commit holds changes that must be stored, and the effects that may be
 // released after that.
 type Commit struct {
@@ -154,7 +158,13 @@
 		if j.reportedState != Cancelled {
 			j.reportedState = s
 		}
-		j.endStored = s.isFinal() && !c.refusedJobs[j]
+		if s.isFinal() && !j.endStored && !c.refusedJobs[j] {
+			if sc.now.Sub(j.endedAt) > maxEndDelay {
+				// The stored time of the end is too early for the retention.
+				sc.markChanged(j)
+			}
+			j.endStored, j.endedAt = true, sc.now
+		}
 	}
 	for w, n := range c.acks {
 		if w.lifeEnded {
