Shard: a late departure of a former life does not end the present one

Cause, by reading: a departure ends the life that the owner knows if that was born before. Times of birth come from the clock of the machine: with a clock that was ahead, a former life was born "later", and its departure, told once more, would end the present one beside its runs. Tasks would run twice.

Evidence: TestLateDepartureDoesNotEndThePresentLife failed before (1 start ordered, want 0).

--- a/shard/departure_test.go
+++ b/shard/departure_test.go
@@ -122,6 +122,19 @@
 	}
 }
 
+// A worker's clock was ahead when it started, and right in its next life. The departure of
+// the former life, told late, must not end the present one, which has a session.
+func TestLateDepartureDoesNotEndThePresentLife(t *testing.T) {
+	h := newHarness(t)
+	h.connect("n1")
+	h.submitAndStart("j1", "checks", shortStep(1))
+	h.connect("n2")
+	if _, over := h.scheduler.ApplyDeparture(link.Departure{Node: "n1", Life: spar.Life{ID: "i-0", Born: 2}, Left: true}, h.now); over {
+		t.Error("the present life has ended")
+	}
+	h.expectStarts(h.runCycle(), 0)
+}
+
 // A worker crashes, is back under another name and leaves. The owner that saw the new life
 // could not store that, and is killed; the agent is gone with its machine. The next owner,
 // which knows the runs of the crashed life alone, must not wait for leases on it. An order
