--- a/shard/expiry.go
+++ b/shard/expiry.go
@@ -37,6 +37,9 @@
 func (sc *Scheduler) ExpiredJobs(limit int, now time.Time) []string {
 	var out []string
 	for _, j := range sc.retiredJobs {
+		if !j.endStored {
+			continue
+		}
 		if len(out) == limit || now.Sub(j.endedAt) <= sc.limits.Retention || sc.hasRuns(j) {
 			break
 		}
