Shard: start orders that are not answered are limited by their size

Callers saw: after a change of the owner with many waiting tasks, on entries with a link of 10 Mbit/s, sessions of agents break and leases come late, so that runs stop that had nothing to do with it.

Cause: each start order carries the job's specification. 2,000 orders of 2.4 kB (2,506 bytes encoded, 104 without the specification) are 5 MB, which that link takes 4 s for. A session's write had 2 s, and grants, acknowledgements and calls to the store waited behind. A commit held up to 1,000 orders, and the next ones followed at once.

Change: Plan places no further task while the start orders of the next commit, or those sent in the last 0.3 s without an answer, take 256 KiB. At most twice that is under way (0.42 s of the link; a gang, which starts as a whole, may exceed it), and without any answer 0.87 MB/s are sent. Tasks wait before their claim, so that the order of a claim, its start and its stop is as before. Messages are not changed: an agent of an earlier build needs the specification in each order.

TestCrashesOfManyTasksFitIntoTheStore started 4,000 tasks without answers in no time. It lets 0.3 s pass after each pass of Plan now, and checks what it checked.

--- a/shard/plan.go
+++ b/shard/plan.go
@@ -24,6 +24,7 @@
 	sc.stepsAwaitingAdvice, sc.shortages = nil, nil
 	sc.clearSurvivors()
 	sc.trials = sc.freeTrialSlots(now)
+	sc.startLimit = sc.countStarts(now)
 	for _, q := range queue {
 		if !sc.placeStep(q.step, pool, now) && q.job.policy.Advised {
 			sc.stepsAwaitingAdvice = append(sc.stepsAwaitingAdvice, q.step)
@@ -108,10 +109,6 @@
 	return 0
 }
 
-// maxClaimsPerCommit is the number of claims from which Plan places no further step or
-// task until they are stored, so that the claims of a large job do not delay others.
-const maxClaimsPerCommit = 1000
-
 // placeStep places the waiting tasks of a step until one finds no worker; the
 // remaining tasks have the same requirements and are not tried. It reports
 // whether all waiting tasks were placed.
@@ -133,7 +130,7 @@
 		if !t.isWaiting(now) || t.isSuspect() || onlyOverdue && !t.isOverdue(now) {
 			continue
 		}
-		if len(sc.claimedRuns) >= maxClaimsPerCommit {
+		if sc.startLimit.full() {
 			return false
 		}
 		p, ok := sc.bestPlacement(t, pool, now)
@@ -160,7 +157,7 @@
 		}
 		lastRun = max(lastRun, t.lastRun)
 	}
-	if len(sc.claimedRuns) >= maxClaimsPerCommit {
+	if sc.startLimit.full() {
 		return false
 	}
 	checkpoint := s.tasks[0].checkpoint
@@ -190,6 +187,7 @@
 	p.addRun(r)
 	p.allocate(sc, t.step)
 	sc.claimedRuns = append(sc.claimedRuns, r)
+	sc.startLimit.add(r)
 	sc.markTaskChanged(t)
 	sc.onEvent(Event{Name: "run claimed", Task: t.ref().String(), Run: number, Node: p.node, Reason: t.step.Image})
 }
@@ -198,5 +196,6 @@
 func (sc *Scheduler) unclaimRun(t *task) {
 	r := t.runs[len(t.runs)-1]
 	sc.removeRun(r)
+	sc.startLimit.remove(r)
 	sc.claimedRuns = slices.DeleteFunc(sc.claimedRuns, func(other *run) bool { return other == r })
 }
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -45,6 +45,8 @@
 	suspects    map[*task]bool
 	trials      trialSlots
 	changedJobs map[*job]bool
+	// startLimit counts the starts of the pass of Plan.
+	startLimit startLimit
 	// claimedRuns are runs whose start orders are sent once the claims are
 	// stored.
 	claimedRuns  []*run
--- a/shard/storage_test.go
+++ b/shard/storage_test.go
@@ -360,6 +360,8 @@
 			for _, o := range starts(h.runCycle()) {
 				lost = append(lost, lostAt(o, time.Second))
 			}
+			// Orders without an answer are under way for a while.
+			h.advance(300 * time.Millisecond)
 		}
 		if len(lost) != 4000 {
 			t.Fatalf("%d starts after %d crashes, want 4000", len(lost), crashes)
