Owner: a large append is not repeated before it can have arrived

Callers saw: after a change of the owner with many waiting tasks, joins are late on entries with a link of 10 Mbit/s.

Cause: an append is repeated when its answer is late, from 60 ms on. One of 512 KiB takes 0.42 s on that link, so that two more copies were sent beside it, and everything else waited behind 1.5 MB.

Change: the time after which a call is repeated grows by what a slow link takes for its bytes (1 MB/s). The same holds for the appends of callers' records. An append of 10 kB is repeated 10 ms later than before.

Evidence: TestLargeAppendIsNotRepeatedBeforeItCanHaveArrived.

--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/hedge"
 	"github.com/cockroachdb/errors"
 )
 
@@ -219,7 +220,7 @@
 	number := w.lastAppend
 	w.sentAt[number] = now
 	w.door.Sent(now)
-	delay := max(min(minRepeatDelay<<min(w.repeats, 4), maxRepeatDelay), repeatFactor*max(w.mean, w.store.door.meanDuration()))
+	delay := max(min(minRepeatDelay<<min(w.repeats, 4), maxRepeatDelay), repeatFactor*max(w.mean, w.store.door.meanDuration())) + hedge.TransferTime(size)
 	w.repeats++
 	w.nextAt = now.Add(delay)
 	// The append ends with the store's own deadline, since it serves many callers.
--- a/entry/owner/slow_link_test.go
+++ b/entry/owner/slow_link_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -180,3 +181,43 @@
 		}
 	})
 }
+
+// uplinkStore receives appends over the uplink.
+type uplinkStore struct {
+	spar.Store
+	uplink *uplink
+	mu     sync.Mutex
+	calls  int
+}
+
+func (s *uplinkStore) Append(_ context.Context, _ string, _ *spar.Producer, records []spar.Record) (int64, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	s.uplink.transfer(recordsSize(records))
+	return 0, nil
+}
+
+// An append of 512 KiB takes 0.42 s on a link of 10 Mbit/s. It was repeated twice before
+// it could have arrived, so that joins waited behind three copies.
+func TestLargeAppendIsNotRepeatedBeforeItCanHaveArrived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &uplinkStore{Store: store.NewClient(&store.Store{}, 1), uplink: &uplink{}}
+		c := newTestTerm(s)
+		written := make(chan error, 1)
+		go func() {
+			written <- c.write(t.Context(), stateTopic, nil, []spar.Record{{Key: "k", Value: make([]byte, maxAppendBytes)}})
+		}()
+		time.Sleep(200 * time.Millisecond)
+		sent := time.Now()
+		s.uplink.transfer(300)
+		delay := time.Since(sent)
+		if err := <-written; err != nil {
+			t.Fatal(err)
+		}
+		if s.calls != 1 || delay > 500*time.Millisecond {
+			t.Errorf("appended %d times, a join came after %s; want once, and less than 500ms", s.calls, delay)
+		}
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -210,7 +210,7 @@
 // appending a record twice has no further effect.
 func (c *Candidate) write(ctx context.Context, topic string, p *spar.Producer, records []spar.Record) error {
 	c.writeLatency.RaiseTo(c.store.MeanDuration())
-	_, err := hedge.Do(ctx, &c.writeLatency, func(ctx context.Context, _ int) (int64, error) {
+	_, err := hedge.DoLarge(ctx, &c.writeLatency, recordsSize(records), func(ctx context.Context, _ int) (int64, error) {
 		return c.store.Append(ctx, topic, p, records)
 	})
 	return err
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -22,8 +22,16 @@
 	maxCalls = 3
 	// newestWeight is the weight of the newest duration in the moving mean.
 	newestWeight = 0.2
+	// slowLinkBytesPerSecond is the rate of the slowest links, less what other calls take.
+	slowLinkBytesPerSecond = 1_000_000
 )
 
+// TransferTime returns how long a slow link takes for a number of bytes. A call that
+// sends them can't have been answered before, and a repeat would hold up all others.
+func TransferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / slowLinkBytesPerSecond
+}
+
 // Latency holds the moving mean of how long calls of one kind take. The zero
 // value is ready to use.
 type Latency struct {
@@ -65,6 +73,11 @@
 // was refused: if one may have been carried out, a refusal becomes spar.ErrUnknown.
 // Calls that are still in flight when Do returns go on until their own deadlines.
 func Do[T any](ctx context.Context, latency *Latency, call func(ctx context.Context, try int) (T, error)) (T, error) {
+	return DoLarge(ctx, latency, 0, call)
+}
+
+// DoLarge is Do for a call that sends a number of bytes.
+func DoLarge[T any](ctx context.Context, latency *Latency, bytes int, call func(ctx context.Context, try int) (T, error)) (T, error) {
 	results := make(chan result[T], maxCalls)
 	launch := func(try int) {
 		begun := time.Now()
@@ -72,7 +85,7 @@
 		results <- result[T]{v, err, time.Since(begun)}
 	}
 	go launch(0)
-	started, inFlight, delay, unsure := 1, 1, latency.hedgeDelay(), false
+	started, inFlight, delay, unsure := 1, 1, latency.hedgeDelay()+TransferTime(bytes), false
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	var zero T
