Owner: a submission that was dropped since is not applied

Cause: an owner that is behind reads a submission that a caller has repeated together with the record that drops it. If the job was forgotten in between, the submission would start it again.

Change: of several records of one key only the last is applied.

Evidence: TestSubmissionThatWasDroppedSinceIsNotApplied failed before (the job is queued).

--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -162,10 +162,15 @@
 	t.wakeLoop()
 }
 
-// applySubmissions passes the jobs among the records to submit.
+// applySubmissions passes the jobs among the records to submit, but for those that a later
+// record drops.
 func (t *term) applySubmissions(records []spar.Record, submit func(spar.Job)) {
-	for _, r := range records {
-		if !strings.HasPrefix(r.Key, JobPrefix) || len(r.Value) == 0 {
+	last := map[string]int{}
+	for i, r := range records {
+		last[r.Key] = i
+	}
+	for i, r := range records {
+		if !strings.HasPrefix(r.Key, JobPrefix) || len(r.Value) == 0 || last[r.Key] > i {
 			continue
 		}
 		j, err := shard.DecodeJob(r.Value)
