Shard: a kept departure of a former life does not end a restored present one

Cause: entries keep a departure for a minute, and a new owner applies it to the life that it has restored, before that has a session. Where the clock of the machine was ahead when the former life began, the present one is "born before" it, and counted as over: its task ran twice.

Change: the life must have been born earlier by more than the clocks of two machines may differ (5 s).

--- a/shard/departure.go
+++ b/shard/departure.go
@@ -45,9 +45,11 @@
 // endEarlierLife ends the life of a worker whose node has had a later one, and reports
 // whether it did. An order to the earlier life may be carried out late in one of the same
 // name, so that does not end it; see Connect. Nor does a life that has had a session in
-// this term end, which is the present one: times of birth follow a clock that may jump.
+// this term end, which is the present one, nor one that was born a short time before: times
+// of birth follow a clock that may jump.
 func (sc *Scheduler) endEarlierLife(w *worker, later spar.Life) bool {
-	if !w.restored || w.info.Life.Born >= later.Born || w.info.Life.ID == later.ID {
+	age := time.Duration(later.Born-w.info.Life.Born) * time.Millisecond
+	if !w.restored || age <= maxClockDifference || w.info.Life.ID == later.ID {
 		return false
 	}
 	sc.onEvent(Event{Name: "worker in a new life", Node: w.node, Reason: later.ID})
