Shard: a submission is kept while a run of the job may be on a worker that has not connected

Cause: the state of a cancelled job names no runs. The next owner dropped its submission in its first second, and the one after that did not know the size of a run that a worker lists, and could start more than the worker has room for.

Change: a job that an earlier owner has ended keeps its submission until all leases of earlier owners are over.

Evidence: TestSubmissionIsKeptWhileARunMayBeOnAnUnreachedWorker failed before.

--- a/entry/owner/expiry.go
+++ b/entry/owner/expiry.go
@@ -29,7 +29,8 @@
 			}
 			full = false
 			t.stateMu.Lock()
-			expired, ended := t.scheduler.ExpiredJobs(maxExpiredJobs, time.Now()), t.scheduler.EndedSubmissions(maxEndedSubmissions)
+			now := time.Now()
+			expired, ended := t.scheduler.ExpiredJobs(maxExpiredJobs, now), t.scheduler.EndedSubmissions(maxEndedSubmissions, now)
 			keys := t.handledDepartures
 			t.stateMu.Unlock()
 			if len(expired)+len(ended)+len(keys) == 0 || !t.isValid() {
--- a/shard/ended_test.go
+++ b/shard/ended_test.go
@@ -17,11 +17,11 @@
 	a := h.submitAndStart("j1", "checks", shortStep(1))
 	h.report("n1", ended(1, a, spar.EndDone))
 	h.runCycle()
-	if got := h.scheduler.EndedSubmissions(10); len(got) != 1 || got[0] != "j1" {
+	if got := h.scheduler.EndedSubmissions(10, h.now); len(got) != 1 || got[0] != "j1" {
 		t.Fatalf("submissions to be dropped: %v, want that of j1", got)
 	}
 	h.scheduler.SubmissionsDropped([]string{"j1"})
-	if got := h.scheduler.EndedSubmissions(10); len(got) != 0 {
+	if got := h.scheduler.EndedSubmissions(10, h.now); len(got) != 0 {
 		t.Errorf("submissions to be dropped again: %v", got)
 	}
 	delete(h.jobs, "j1")
@@ -47,15 +47,15 @@
 	h := newHarness(t)
 	h.connect("n1")
 	h.submitAndStart("j1", "checks", shortStep(1))
-	if got := h.scheduler.EndedSubmissions(10); len(got) != 0 {
+	if got := h.scheduler.EndedSubmissions(10, h.now); len(got) != 0 {
 		t.Errorf("submission of a running job is to be dropped: %v", got)
 	}
 	h.scheduler.Cancel("j1", h.now)
-	if got := h.scheduler.EndedSubmissions(10); len(got) != 0 {
+	if got := h.scheduler.EndedSubmissions(10, h.now); len(got) != 0 {
 		t.Errorf("submission is to be dropped before the end is stored: %v", got)
 	}
 	h.runCycle()
-	if got := h.scheduler.EndedSubmissions(10); len(got) != 0 {
+	if got := h.scheduler.EndedSubmissions(10, h.now); len(got) != 0 {
 		t.Errorf("submission of a job with a run is to be dropped: %v", got)
 	}
 }
@@ -109,3 +109,34 @@
 		t.Errorf("expired after the retention: %v, want j1", got)
 	}
 }
+
+// A cancelled job's run is still on a worker that the next owner has not reached. If that
+// owner drops the submission, the one after it does not know the run's size and starts more
+// than the worker has room for (LIMIT).
+func TestSubmissionIsKeptWhileARunMayBeOnAnUnreachedWorker(t *testing.T) {
+	h := newHarness(t)
+	h.connect("n1")
+	big := spar.Step{Count: 1, Size: spar.Size{CPUMilli: 16000, MemoryMB: 60000}, Estimate: time.Minute}
+	a := h.submitAndStart("j1", "checks", big)
+	h.report("n1", started(a))
+	h.scheduler.Cancel("j1", h.now)
+	h.runCycle()
+	if got := h.scheduler.EndedSubmissions(10, h.now); len(got) != 0 {
+		t.Fatalf("dropped with a run: %v", got)
+	}
+	// The owner is killed, and the next one as well after its first look; n1 was out of reach.
+	h.replaceOwner(12 * time.Second)
+	for _, id := range h.scheduler.EndedSubmissions(10, h.now) {
+		delete(h.jobs, id)
+	}
+	h.replaceOwner(12 * time.Second)
+	running := spar.Running{Task: a.Task, Run: a.Run, Percent: 10}
+	h.connect("n1", running)
+	h.runCycle()
+	// The stop is not answered for more than a second.
+	h.submit("j2", "checks", big)
+	h.advance(1100 * time.Millisecond)
+	if got := starts(h.runCycle()); len(got) != 0 {
+		t.Errorf("started %v beside run %d of %v, which fills the worker", got[0].Task, a.Run, a.Task)
+	}
+}
--- a/shard/expiry.go
+++ b/shard/expiry.go
@@ -7,14 +7,15 @@
 
 // EndedSubmissions returns ended jobs whose submissions are to be dropped, at most limit.
 // The stored state tells all that is asked about them, and a new owner need not read the
-// rest. A job with a run is left out, so that the run is known when it ends.
-func (sc *Scheduler) EndedSubmissions(limit int) []string {
+// rest. A job that has a run, or may have one on a worker that has not connected, is left
+// out, so that the size of the run is known until it ends.
+func (sc *Scheduler) EndedSubmissions(limit int, now time.Time) []string {
 	var out []string
 	for _, j := range sc.retiredJobs {
 		if len(out) == limit {
 			break
 		}
-		if j.endStored && !j.submissionDropped && !sc.hasRuns(j) {
+		if j.endStored && !j.submissionDropped && now.After(j.runsUnknownUntil) && !sc.hasRuns(j) {
 			out = append(out, j.ID)
 		}
 	}
--- a/shard/job.go
+++ b/shard/job.go
@@ -38,6 +38,9 @@
 	// endStored reports; submissionDropped reports whether the submission was dropped since.
 	endedAt                      time.Time
 	endStored, submissionDropped bool
+	// runsUnknownUntil is the time until which runs of a job that an earlier owner has ended
+	// may be on workers that have not connected.
+	runsUnknownUntil time.Time
 	// firstSeen is when this owner first saw the job.
 	firstSeen time.Time
 	storage
--- a/shard/restore.go
+++ b/shard/restore.go
@@ -84,7 +84,7 @@
 	}
 	j.state, j.reportedState, j.started = p.State, p.State, p.Begun
 	if j.hasEnded() {
-		j.endedAt, j.endStored = sc.restoredEnd(&p, now), true
+		j.endedAt, j.endStored, j.runsUnknownUntil = sc.restoredEnd(&p, now), true, expires
 		sc.retireJob(j)
 		return nil
 	}
