Shard: a clock that jumps does not end the retention of jobs

Cause: a new owner took the time of day of the end for true. A clock that was ahead by more than the retention ended that of all jobs at once, and a repeated submission would have run again; the stored time is also rounded down and may be 5 s before callers could see the end.

Change: a job counts as no older than the time by which a later one has ended after it, which takes a wrong clock here as well as where the ends were stored to be too much; and 6 s are added for what the stored time may be too early.

--- a/shard/job.go
+++ b/shard/job.go
@@ -38,6 +38,8 @@
 	// endStored reports; submissionDropped reports whether the submission was dropped since.
 	endedAt                      time.Time
 	endStored, submissionDropped bool
+	// storedEnd is the time of day of the end that an earlier owner has stored, if any.
+	storedEnd time.Time
 	// runsUnknownUntil is the time until which runs of a job that an earlier owner has ended
 	// may be on workers that have not connected.
 	runsUnknownUntil time.Time
@@ -133,9 +135,9 @@
 }
 
 // newEndedJob returns a job of which only the final state is known.
-func newEndedJob(id string, s State, started bool, now time.Time) *job {
+func newEndedJob(id string, p *progress, now time.Time) *job {
 	out := newJob(spar.Job{ID: id}, now)
-	out.state, out.reportedState, out.started, out.endedAt = s, s, started, now
+	out.state, out.reportedState, out.started, out.endedAt, out.storedEnd = p.State, p.State, p.Begun, now, p.storedEnd()
 	out.endStored, out.submissionDropped = true, true
 	return out
 }
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -63,12 +63,12 @@
 	return marshal(&p)
 }
 
-// endedAt returns the time of day of a job's end, and false if it is not stored.
-func (p *progress) endedAt() (time.Time, bool) {
+// storedEnd returns the time of day of a job's end; zero if it is not stored.
+func (p *progress) storedEnd() time.Time {
 	if !p.State.isFinal() || len(p.Occurs) != 1 {
-		return time.Time{}, false
+		return time.Time{}
 	}
-	return time.Unix(int64(p.Occurs[0].Number), 0), true
+	return time.Unix(int64(p.Occurs[0].Number), 0)
 }
 
 // encodeTasks returns the stored form of tasks in the order of their occurrences.
--- a/shard/restore.go
+++ b/shard/restore.go
@@ -31,19 +31,33 @@
 	load(false, func(r spar.Record) error { return sc.restoreJob(r.Key, r.Value, now, expires) })
 	load(true, func(r spar.Record) error { return sc.restoreOther(r, expires) })
 	sc.completeGangs(now)
+	sc.restoreEnds(now)
 	slices.SortStableFunc(sc.retiredJobs, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
 	return out
 }
 
-// restoredEnd returns when a job has ended that an earlier owner has stored. Its retention
-// counts from then: if each owner counted it anew, jobs would be kept without bound while
-// owners change often.
-func (sc *Scheduler) restoredEnd(p *progress, now time.Time) time.Time {
-	at, ok := p.endedAt()
-	if !ok {
-		return now
-	}
-	return now.Add(-min(max(now.Sub(at), 0), sc.limits.Retention))
+// storedEndError is how much earlier than the moment at which callers could see the end of
+// a job the stored time may be: a commit may take maxEndDelay, and the time is in seconds.
+const storedEndError = maxEndDelay + time.Second
+
+// restoreEnds has the retention of the jobs that earlier owners have ended count from their
+// end: if each owner counted it anew, jobs would be kept without bound while owners change
+// often. The time of day may be wrong here or where the end was stored, so a job counts as
+// no older than the time by which a later one has ended after it.
+func (sc *Scheduler) restoreEnds(now time.Time) {
+	var newest time.Time
+	for _, j := range sc.retiredJobs {
+		if j.storedEnd.After(newest) {
+			newest = j.storedEnd
+		}
+	}
+	for _, j := range sc.retiredJobs {
+		if j.storedEnd.IsZero() {
+			continue
+		}
+		age := min(now.Sub(j.storedEnd), newest.Sub(j.storedEnd)) - storedEndError
+		j.endedAt = now.Add(-min(max(age, 0), sc.limits.Retention))
+	}
 }
 
 func (sc *Scheduler) restoreOther(r spar.Record, expires time.Time) error {
@@ -73,7 +87,7 @@
 	j := sc.jobs[id]
 	switch {
 	case j == nil && p.State.isFinal():
-		j = newEndedJob(id, p.State, p.Begun, sc.restoredEnd(&p, now))
+		j = newEndedJob(id, &p, now)
 		sc.jobs[id] = j
 		sc.retiredJobs = append(sc.retiredJobs, j)
 		return nil
@@ -84,7 +98,7 @@
 	}
 	j.state, j.reportedState, j.started = p.State, p.State, p.Begun
 	if j.hasEnded() {
-		j.endedAt, j.endStored, j.runsUnknownUntil = sc.restoredEnd(&p, now), true, expires
+		j.endedAt, j.storedEnd, j.endStored, j.runsUnknownUntil = now, p.storedEnd(), true, expires
 		sc.retireJob(j)
 		return nil
 	}
