Owner: cancels of jobs that do not arrive are dropped after the retention

Cause: a cancel of a job that was forgotten, or never stored, stayed in the store for ever, and each takeover read all of them.

Change: the owner drops those that it has known for the retention.

--- a/entry/owner/expiry.go
+++ b/entry/owner/expiry.go
@@ -18,7 +18,8 @@
 )
 
 // dropExpired drops the submissions of the jobs that have ended, and of those whose
-// retention is over, which are then forgotten. It also drops departures that were handled.
+// retention is over, which are then forgotten. It also drops departures that were handled
+// and cancels whose job has not arrived.
 // It works beside the loop, so that a partition that is down does not hold up commits.
 func (t *term) dropExpired(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
@@ -31,16 +32,21 @@
 			t.stateMu.Lock()
 			now := time.Now()
 			expired, ended := t.scheduler.ExpiredJobs(maxExpiredJobs, now), t.scheduler.EndedSubmissions(maxEndedSubmissions, now)
+			var cancels []string
+			for _, id := range t.scheduler.ExpiredCancels(maxExpiredJobs) {
+				cancels = append(cancels, CancelPrefix+id)
+			}
 			keys := t.handledDepartures
 			t.stateMu.Unlock()
-			if len(expired)+len(ended)+len(keys) == 0 || !t.isValid() {
+			if len(expired)+len(ended)+len(cancels)+len(keys) == 0 || !t.isValid() {
 				continue
 			}
-			if err := t.dropSubmissions(ctx, slices.Concat(expired, ended), keys); err != nil {
+			if err := t.dropRecords(ctx, slices.Concat(expired, ended), slices.Concat(keys, cancels)); err != nil {
 				continue
 			}
 			t.stateMu.Lock()
 			t.scheduler.SubmissionsDropped(ended)
+			t.scheduler.CancelsDropped(len(cancels))
 			t.scheduler.ForgetJobs(expired)
 			t.handledDepartures = t.handledDepartures[len(keys):]
 			full = len(expired) == maxExpiredJobs || len(ended) == maxEndedSubmissions
@@ -52,9 +58,9 @@
 	return done
 }
 
-// dropSubmissions drops the submissions and the cancels of jobs and further records of the
+// dropRecords drops the submissions and the cancels of jobs, and further records of the
 // jobs topic. It repeats that until it is answered or the context ends.
-func (t *term) dropSubmissions(ctx context.Context, ids, keys []string) error {
+func (t *term) dropRecords(ctx context.Context, ids, keys []string) error {
 	var records []spar.Record
 	for _, id := range ids {
 		records = append(records, spar.Record{Key: JobPrefix + id}, spar.Record{Key: CancelPrefix + id})
--- a/shard/expiry.go
+++ b/shard/expiry.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// ExpiredCancels returns cancels of jobs that have not arrived within the retention, at most
+// limit. They are to be dropped.
+func (sc *Scheduler) ExpiredCancels(limit int) []string {
+	return sc.expiredCancels[:min(limit, len(sc.expiredCancels))]
+}
+
+// CancelsDropped records that the first expired cancels were dropped.
+func (sc *Scheduler) CancelsDropped(number int) { sc.expiredCancels = sc.expiredCancels[number:] }
+
 // ExpiredJobs returns ended jobs whose retention is over, at most limit. Their submissions
 // are to be dropped, also those that a caller has repeated since the end, and after that
 // the jobs forgotten: an owner that finds the submission of a job without its progress
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -37,6 +37,8 @@
 	// earlyCancels are cancels that arrived before their job, with the time of
 	// arrival.
 	earlyCancels map[string]time.Time
+	// expiredCancels are those whose job has not arrived within the retention.
+	expiredCancels []string
 	workers      map[string]*worker
 	// lifeEnds holds, by node, when the last life began whose end was reported.
 	lifeEnds map[string]int64
@@ -289,6 +291,7 @@
 	for id, at := range sc.earlyCancels {
 		if now.Sub(at) > sc.limits.Retention {
 			delete(sc.earlyCancels, id)
+			sc.expiredCancels = append(sc.expiredCancels, id)
 		}
 	}
 	sc.reportWaits(now)
