--- a/shard/expiry.go
+++ b/shard/expiry.go
@@ -7,14 +7,15 @@
 
 // EndedSubmissions returns ended jobs whose submissions are to be dropped, at most limit.
 // The stored state tells all that is asked about them, and a new owner need not read the
-// rest. A job with a run is left out, so that the run is known when it ends.
-func (sc *Scheduler) EndedSubmissions(limit int) []string {
+// rest. A job that has a run, or may have one on a worker that has not connected, is left
+// out, so that the size of the run is known until it ends.
+func (sc *Scheduler) EndedSubmissions(limit int, now time.Time) []string {
 	var out []string
 	for _, j := range sc.retiredJobs {
 		if len(out) == limit {
 			break
 		}
-		if j.endStored && !j.submissionDropped && !sc.hasRuns(j) {
+		if j.endStored && !j.submissionDropped && now.After(j.runsUnknownUntil) && !sc.hasRuns(j) {
 			out = append(out, j.ID)
 		}
 	}
@@ -30,6 +31,15 @@
 	}
 }
 
+// ExpiredCancels returns cancels of jobs that have not arrived within the retention, at most
+// limit. They are to be dropped.
+func (sc *Scheduler) ExpiredCancels(limit int) []string {
+	return sc.expiredCancels[:min(limit, len(sc.expiredCancels))]
+}
+
+// CancelsDropped records that the first expired cancels were dropped.
+func (sc *Scheduler) CancelsDropped(number int) { sc.expiredCancels = sc.expiredCancels[number:] }
+
 // ExpiredJobs returns ended jobs whose retention is over, at most limit. Their submissions
 // are to be dropped, also those that a caller has repeated since the end, and after that
 // the jobs forgotten: an owner that finds the submission of a job without its progress
