Agent: a call without an answer does not end a worker that has deregistered

A worker has deregistered and is at work for a moment more, or for some seconds if it has not heard that this was confirmed. One call to it got no answer, its agent told the owner and all entries that it had left, and its tasks started elsewhere.

Cause: a call without an answer, sent after the deregistration, counted as the end of the worker. It is no evidence of that.

Change: - A closed or refused connection after the deregistration, or another life that answers, tells that a worker has left, and nothing else. - After a call without an answer, and half a second after a worker that had drained has deregistered, the agent extends no lease on it any more, and tells all entries how long the last one runs (Departure.LeaseLeft). Entries keep that as they keep departures, and count the time since. A term that has had no session with the worker waits until then, in place of up to 11.25 s. So the wait that this brings back is 5.25 s from the last grant at most, also if the machine with the agent is gone a second after the worker. - Such a life counts as draining to its end, even if the deregistration was a late one of an earlier life: it has no leases. - A lease that a late order to an earlier life of the same name may have given, as far as this agent process knows that life, is counted: the welcome tells the longest lease.

Why no second run by that: leases are extended by this agent alone, under the lock under which they are fixed, and calls that are carried out late carry an absolute time. The owner adds its margin for slow clocks, and ignores the bound after a session in its term.

A time-out was also weighed as an end after some unanswered calls. The protocol bounds the time after an unconfirmed deregistration by "some seconds" only; the leases end as soon.

--- a/agent/exec/departure.go
+++ b/agent/exec/departure.go
@@ -20,7 +20,7 @@
 	l.ends.acknowledge(number)
 }
 
-// recordLeft records that the worker had deregistered and then did not answer a call.
+// recordLeft records that the worker had deregistered and that a call has shown its end.
 func (l *lifeRecord) recordLeft() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -34,20 +34,22 @@
 }
 
 // departure returns what the store may not know of this life, or nil. While the worker is
-// draining these are ends that have not been acknowledged for a while, and after it has
-// left, that its runs are over. One without any may still count as having runs that never
-// reached it, and an owner that was told of its end in a session may be killed before it
-// has stored that.
+// draining these are ends that have not been acknowledged for a while, and when no lease on
+// it is extended any more, how long the last one runs. After it has left, its runs are over.
+// One without any may still count as having runs that never reached it, and an owner that
+// knows of its end may be killed before it has stored that, so all entries are told.
 func (l *lifeRecord) departure(draining bool, now time.Duration) *link.Departure {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case l.left:
+		return &link.Departure{Life: l.life, Ended: l.ends.all(), Left: true}
+	case l.leaseFixed:
+		return &link.Departure{Life: l.life, Ended: l.ends.all(), LeaseLeft: l.leaseLeftLocked(now)}
 	case draining && l.ends.age(now) >= minUnackedAge:
-	default:
-		return nil
+		return &link.Departure{Life: l.life, Ended: l.ends.all()}
 	}
-	return &link.Departure{Life: l.life, Ended: l.ends.all(), Left: l.left}
+	return nil
 }
 
 // listWithoutSession lists a worker that leaves while no owner can be reached, for the
@@ -74,15 +76,23 @@
 }
 
 // recordLeft records after a failed call to the worker that it has left, if it had
-// deregistered, and reports whether that is so. A call that was sent before says so only
-// if it was disconnected: the worker may still have been at work when it got no answer. A
-// call that the context has ended never does.
+// deregistered and the call has shown its end, and reports whether that is so.
+//
+// A call without an answer shows no end: the worker may work on until its leases are over,
+// for seconds if it has not heard that its deregistration arrived. From then on no lease is
+// extended; see fixLeases. A call that was sent before the deregistration, or that the
+// context has ended, tells nothing.
 func (e *Executor) recordLeft(ctx context.Context, l *lifeRecord, begun time.Time, err error) bool {
-	isOver := errors.Is(err, spar.ErrDisconnected) || errors.Is(err, spar.ErrOtherLife)
-	if ctx.Err() != nil || !e.heartbeats.HasLeft(l.life) || !isOver && !e.heartbeats.HadLeft(l.life, begun) {
+	if ctx.Err() != nil || !e.heartbeats.HasLeft(l.life) {
 		return false
 	}
-	l.recordLeft()
+	isOver := errors.Is(err, spar.ErrDisconnected) || errors.Is(err, spar.ErrOtherLife)
+	switch {
+	case isOver:
+		l.recordLeft()
+	case e.heartbeats.HadLeft(l.life, begun):
+		e.departures.fixLeases(l)
+	}
 	e.departures.wake()
-	return true
+	return isOver
 }
--- a/agent/exec/departures.go
+++ b/agent/exec/departures.go
@@ -78,6 +78,7 @@
 	if life == nil {
 		return last
 	}
+	s.fixLeasesOfDrained(life)
 	heartbeat := s.heartbeats.Load()
 	d := life.departure(heartbeat.Info.Life == life.life && heartbeat.Info.Draining, s.clock())
 	switch {
@@ -95,7 +96,8 @@
 
 // includes reports whether a departure says nothing beyond the one that is being sent.
 func (d *delivery) includes(next *link.Departure) bool {
-	return d.departure.Life == next.Life && (d.departure.Left || !next.Left) && lastEnd(next) <= lastEnd(d.departure)
+	last := d.departure
+	return last.Life == next.Life && (last.Left || !next.Left) && (last.Left || last.LeaseLeft != nil || next.LeaseLeft == nil) && lastEnd(next) <= lastEnd(last)
 }
 
 // lastEnd returns the highest number of an end, or 0.
@@ -117,17 +119,17 @@
 // deliver sends a departure to the entries until each has answered, for departureTimeout
 // at most.
 func (s *departureSender) deliver(ctx context.Context, d *link.Departure) *delivery {
-	s.Info("departure is sent to all entries", "worker", d.Life.ID, "born", d.Life.Born, "ends", len(d.Ended), "left", d.Left)
+	s.Info("departure is sent to all entries", "worker", d.Life.ID, "born", d.Life.Born, "ends", len(d.Ended), "left", d.Left, "lease_left", d.LeaseLeft)
 	s.Counter("departures").Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
-	done := make(chan error, 1)
+	done, begun := make(chan error, 1), s.clock()
 	go func() {
 		defer cancel()
 		answered := map[string]bool{}
 		pending := s.sendToPending(ctx, d, answered)
 		for ctx.Err() == nil && (pending > 0 || len(answered) == 0) {
 			track.Pause(ctx, departureInterval)
-			pending = s.sendToPending(ctx, d, answered)
+			pending = s.sendToPending(ctx, d.After(s.clock()-begun), answered)
 		}
 		s.Info("departure was sent", "worker", d.Life.ID, "born", d.Life.Born, "ends", len(d.Ended), "left", d.Left, "answered", len(answered), "unanswered", pending)
 		done <- nil
--- a/agent/exec/departures_test.go
+++ b/agent/exec/departures_test.go
@@ -263,20 +263,6 @@
 	})
 }
 
-// The session with the owner breaks while a worker that has deregistered still works. The
-// hold call that ends with the session does not tell that the worker is gone.
-func TestWorkerThatStillAnswersHasNotLeft(t *testing.T) {
-	testDeparture(t, func(t *testing.T, b *departureBench) {
-		b.worker.change(func() { b.worker.running = []spar.Running{{Task: spar.TaskRef{Job: "a"}, Run: 1}} })
-		time.Sleep(time.Second)
-		b.beats.Deregister(workerLife.ID)
-		time.Sleep(200 * time.Millisecond)
-		b.set(func() { b.down = true })
-		time.Sleep(5 * time.Second)
-		b.expect(t, 0, 0, false)
-	})
-}
-
 // An entry that is cut off must be asked no longer than the departure matters.
 func TestEntryThatDoesNotAnswerIsGivenUp(t *testing.T) {
 	testDeparture(t, func(t *testing.T, b *departureBench) {
@@ -300,8 +286,10 @@
 		b.worker.change(func() { b.worker.gone = true })
 		b.set(func() { b.down = false })
 		time.Sleep(sessionDelay + 150*time.Millisecond)
-		if b.leaves == 0 {
-			t.Errorf("the owner was not told within %s", sessionDelay+150*time.Millisecond)
-		}
+		b.set(func() {
+			if b.leaves == 0 {
+				t.Errorf("the owner was not told within %s", sessionDelay+150*time.Millisecond)
+			}
+		})
 	})
 }
--- a/agent/exec/executor.go
+++ b/agent/exec/executor.go
@@ -57,14 +57,11 @@
 	clock func() time.Duration
 	// epoch is the highest epoch of the owners served so far.
 	epoch int64
-	// leasedLife is the life whose leases this process extends, and leaseEnd the
-	// latest time at which they end, on clock.
-	leasedLife spar.Life
-	leaseEnd   time.Duration
-	// lifeRecord is of the worker's current life. lifeEnds are the last ends of
-	// lives that were not announced. Each owner is told of them, since the last one
-	// may not have stored what it was told.
+	// lifeRecord is of the worker's current life, and earlierIDs are those of the last
+	// lives. lifeEnds are the last ends of lives that were not announced. Each owner is
+	// told of them, since the last one may not have stored what it was told.
 	lifeRecord *lifeRecord
+	earlierIDs []string
 	lifeEnds   []link.LifeEnd
 	// leaveReportedEpoch is the epoch of the last owner that was informed that
 	// the worker has left.
@@ -143,7 +140,7 @@
 	}
 	conn := link.NewConn[link.OwnerMessage, link.AgentMessage](c)
 	defer conn.Close()
-	if err := conn.Send(&link.AgentMessage{Node: e.node, Worker: &heartbeat.Info, MaxLeaseLeft: e.leaseLeft(heartbeat.Info.Life), LifeEnds: e.lifeEnds}); err != nil {
+	if err := conn.Send(&link.AgentMessage{Node: e.node, Worker: &heartbeat.Info, MaxLeaseLeft: life.leaseLeft(e.clock()), LifeEnds: e.lifeEnds}); err != nil {
 		return err
 	}
 	m, err := conn.Receive(welcomeTimeout)
@@ -161,16 +158,6 @@
 	return s.run(ctx)
 }
 
-// leaseLeft returns how long leases that this process extended for a life can
-// still last, or nil if it has not listed the runs of that life yet.
-func (e *Executor) leaseLeft(l spar.Life) *time.Duration {
-	if e.leasedLife != l {
-		return nil
-	}
-	left := max(e.leaseEnd-e.clock(), 0)
-	return &left
-}
-
 // epochOf returns the epoch in a welcome, or 0 if the message is none.
 func epochOf(m *link.OwnerMessage) int64 {
 	if m.Welcome == nil {
--- a/agent/exec/heartbeats.go
+++ b/agent/exec/heartbeats.go
@@ -37,8 +37,12 @@
 	last *Heartbeat
 	// deregistered is the last life that announced its end.
 	deregistered spar.Life
-	// deregisteredAt is when it did so.
+	// deregisteredAt is when it did so, and drainedBefore whether it had reported before
+	// that it drains, as each worker does that leaves by plan.
 	deregisteredAt time.Time
+	drainedBefore  bool
+	// leaving is a life that counts as deregistered whatever it reports.
+	leaving spar.Life
 	// drained is the last life that was draining when the next one began.
 	drained spar.Life
 	changed chan struct{}
@@ -76,6 +80,26 @@
 	return b.deregistered == l && !at.Before(b.deregisteredAt)
 }
 
+// HadDrainedAndLeft reports whether a life of the worker had deregistered at a time, and
+// had reported before that it drains.
+func (b *Heartbeats) HadDrainedAndLeft(l spar.Life, at time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.deregistered == l && b.drainedBefore && !at.Before(b.deregisteredAt)
+}
+
+// KeepDeregistered has a life that has deregistered count as draining and deregistered to
+// its end. It returns false if the life has not deregistered.
+func (b *Heartbeats) KeepDeregistered(l spar.Life) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.deregistered != l {
+		return false
+	}
+	b.leaving = l
+	return true
+}
+
 // WasDraining reports whether a life that is over had been draining, so that its
 // end was to be expected.
 func (b *Heartbeats) WasDraining(l spar.Life) bool {
@@ -114,6 +138,7 @@
 			return false
 		}
 	}
+	r.Info.Draining = r.Info.Draining || r.Info.Life == b.leaving
 	b.last = &r
 	if b.deregistered == r.Info.Life && !r.Info.Draining {
 		// The call was late and of an earlier life with the same name.
@@ -144,6 +169,9 @@
 	defer b.mu.Unlock()
 	if b.last != nil && b.last.Info.Life.ID == id {
 		r := *b.last
+		if b.deregistered != r.Info.Life {
+			b.drainedBefore = r.Info.Draining
+		}
 		r.Info.Draining = true
 		b.last = &r
 		b.deregistered, b.deregisteredAt = r.Info.Life, time.Now()
--- a/agent/exec/life.go
+++ b/agent/exec/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,8 +30,15 @@
 	disconnected bool
 	// ends are those that no owner has acknowledged.
 	ends unackedEnds
-	// left reports that the worker had deregistered and then did not answer a call.
+	// left reports that the worker had deregistered, and that a call has shown its end.
 	left bool
+	// leased reports that leaseEnd is known: the latest time at which the leases on the
+	// life end. If leaseFixed is set, none is extended beyond that.
+	leased, leaseFixed bool
+	leaseEnd           time.Duration
+	// nameReused reports that this process has served an earlier life of the same name,
+	// to which orders may have been carried out late in this one.
+	nameReused bool
 }
 
 // runStart is the start of a run.
@@ -157,6 +165,9 @@
 		e.lifeEnds = e.lifeEnds[max(len(e.lifeEnds)-maxLifeEnds, 0):]
 	}
 	e.lifeRecord = newLifeRecord(current)
+	e.lifeRecord.nameReused = slices.Contains(e.earlierIDs, current.ID)
+	e.earlierIDs = append(e.earlierIDs, current.ID)
+	e.earlierIDs = e.earlierIDs[max(len(e.earlierIDs)-maxLifeEnds, 0):]
 	e.departures.life.Store(e.lifeRecord)
 	return e.lifeRecord
 }
--- a/agent/exec/orders.go
+++ b/agent/exec/orders.go
@@ -61,14 +61,16 @@
 // extendLease extends the lease after the owner has granted the heartbeat with
 // the given number. The lease is counted from the clock reading in that
 // heartbeat. The clock was read before the heartbeat was sent, so the lease ends
-// no later than the owner assumes, even if this machine was suspended in between.
+// no later than the owner assumes, even if this machine was suspended in between. Once
+// the entries were told when the leases on the worker end, none is extended.
 func (s *session) extendLease(number int64) {
 	heartbeat, ok := s.ungranted[number]
 	if !ok {
 		return
 	}
-	s.workerLeaseEnd = max(s.workerLeaseEnd, heartbeat.workerClock+s.lease.Milliseconds())
-	s.leaseEnd = max(s.leaseEnd, heartbeat.sentAt+s.lease)
+	if s.life.extendLease(heartbeat.sentAt + s.lease) {
+		s.workerLeaseEnd = max(s.workerLeaseEnd, heartbeat.workerClock+s.lease.Milliseconds())
+	}
 	for n := range s.ungranted {
 		if n <= number {
 			delete(s.ungranted, n)
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -36,13 +36,15 @@
 // session serves one owner and one life of the worker.
 type session struct {
 	*Executor
-	life       *lifeRecord
-	conn       *link.Conn[link.OwnerMessage, link.AgentMessage]
-	target     spar.Target
-	lease      time.Duration
-	startCalls slots
-	stopCalls  slots
-	paceCalls  slots
+	life   *lifeRecord
+	conn   *link.Conn[link.OwnerMessage, link.AgentMessage]
+	target spar.Target
+	// lease is the length of the lease that a grant gives, and maxLease the longest that
+	// the worker accepts.
+	lease, maxLease time.Duration
+	startCalls      slots
+	stopCalls       slots
+	paceCalls       slots
 
 	mu sync.Mutex
 	// ownerHeardAt is when the owner's last message was received, on the executor's
@@ -97,7 +99,7 @@
 
 func newSession(e *Executor, life *lifeRecord, c *link.Conn[link.OwnerMessage, link.AgentMessage], w link.Welcome, h Heartbeat) *session {
 	return &session{
-		Executor: e, life: life, conn: c, lease: w.Lease,
+		Executor: e, life: life, conn: c, lease: w.Lease, maxLease: w.MaxLease,
 		startCalls: make(slots, maxStartCalls), stopCalls: make(slots, maxStopCalls), paceCalls: make(slots, maxPaceCalls),
 		starting: map[runKey]context.CancelFunc{}, stopOrdered: map[runKey]bool{}, ownerHeardAt: e.clock(),
 		target:    spar.Target{Address: h.Address, Life: h.Info.Life, Token: w.Token},
@@ -120,10 +122,7 @@
 		return s.reportLeft(ctx, err)
 	}
 	s.life.recordFencedLists(lists, s.clock())
-	if s.leasedLife != s.target.Life {
-		// A previous agent process may have extended leases until just now.
-		s.leasedLife, s.leaseEnd = s.target.Life, s.clock()+s.lease
-	}
+	s.life.beginLeases(s.clock(), s.lease, s.maxLease)
 	if err := s.reportLists(lists); err != nil {
 		return err
 	}
@@ -143,10 +142,10 @@
 	return <-errs
 }
 
-// reportLeft informs the owner if the worker that stopped answering had
-// deregistered before, which means that no run is left on it. Each owner has to
-// be informed, since a new owner may still expect the worker's runs. It returns
-// cause, the error that ends the session, with that fact added.
+// reportLeft informs the owner if the worker had deregistered and a call has shown its
+// end, which means that no run is left on it. Each owner has to be informed, since a new
+// owner may still expect the worker's runs. It returns cause, the error that ends the
+// session, with that fact added.
 func (s *session) reportLeft(ctx context.Context, cause error) error {
 	if !s.recordLeft(ctx, s.life, s.listBegun, cause) {
 		return cause
--- a/entry/owner/kept.go
+++ b/entry/owner/kept.go
@@ -34,8 +34,9 @@
 	at time.Duration
 }
 
-// add adds a departure to what is known of its life. If there are too many, the one that
-// is kept longest is dropped.
+// add adds a departure to what is known of its life. Of bounds of its leases the last one
+// holds, also if it is none: a new agent process may extend leases that the one before did
+// not. If there are too many departures, the one that is kept longest is dropped.
 func (k *keptDepartures) add(d link.Departure, now time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -76,7 +77,7 @@
 			delete(k.byLife, l)
 			continue
 		}
-		out = append(out, d.Departure)
+		out = append(out, *d.After(now - d.at))
 	}
 	return out
 }
@@ -94,7 +95,7 @@
 		case d.Life.ID == "" || len(d.Life.ID) > maxLifeIDBytes:
 			return errors.Newf("departure with a life of %d bytes, want 1 to %d", len(d.Life.ID), maxLifeIDBytes)
 		}
-		c.Info("departure kept", "node", d.Node, "worker", d.Life.ID, "born", d.Life.Born, "ends", len(d.Ended), "left", d.Left)
+		c.Info("departure kept", "node", d.Node, "worker", d.Life.ID, "born", d.Life.Born, "ends", len(d.Ended), "left", d.Left, "lease_left", d.LeaseLeft)
 		c.Counter("departures_kept").Inc(1)
 		// A term that begins meanwhile finds it among those that are kept.
 		c.kept.add(*d, c.clock())
--- a/entry/owner/session.go
+++ b/entry/owner/session.go
@@ -72,7 +72,7 @@
 	t.sessions[s.node] = s
 	t.scheduler.RecordLifeEnds(s.node, hello.LifeEnds, time.Now())
 	t.scheduler.Connect(s.node, *hello.Worker, s.token, hello.MaxLeaseLeft, time.Now())
-	s.queue <- &link.OwnerMessage{Welcome: &link.Welcome{Epoch: t.epoch, Token: s.token, Lease: t.settings.lease()}}
+	s.queue <- &link.OwnerMessage{Welcome: &link.Welcome{Epoch: t.epoch, Token: s.token, Lease: t.settings.lease(), MaxLease: t.settings.maxLease()}}
 	return s
 }
 
--- a/link/departure.go
+++ b/link/departure.go
@@ -1,6 +1,10 @@
 package link
 
-import "github.com/berylspar/spar"
+import (
+	"time"
+
+	"github.com/berylspar/spar"
+)
 
 // Departure is what the agent of a worker that leaves tells all entries, since the owner
 // may end before it has stored it. It stays true whoever owns the shard.
@@ -15,10 +19,15 @@
 	// Left reports that the worker has signed off and no longer answers, so that every
 	// run on it is over.
 	Left bool `msgpack:"q,omitempty"`
+	// LeaseLeft is the longest time that leases on the life can still run, from when this
+	// was sent. It is set for a worker that has signed off and is not known to have ended:
+	// the agent extends no lease on it any more.
+	LeaseLeft *time.Duration `msgpack:"v,omitempty"`
 }
 
 // Split returns departures that together say the same and fit into a frame each. Ends come
-// in their order, and Left is in the last one, so that it takes effect after all ends.
+// in their order, and Left and LeaseLeft are in the last one, so that they take effect
+// after all ends.
 func (d *Departure) Split() []*Departure {
 	var s splitter[Departure]
 	for _, e := range d.Ended {
@@ -26,10 +35,20 @@
 		p.Ended = append(p.Ended, e)
 	}
 	last := s.current
-	last.Left = d.Left
+	last.Left, last.LeaseLeft = d.Left, d.LeaseLeft
 	out := append(s.full, &last)
 	for _, p := range out {
 		p.Node, p.Life = d.Node, d.Life
 	}
 	return out
 }
+
+// After returns the departure as it is to be told some time after it was made.
+func (d *Departure) After(elapsed time.Duration) *Departure {
+	later := *d
+	if d.LeaseLeft != nil {
+		left := max(*d.LeaseLeft-elapsed, 0)
+		later.LeaseLeft = &left
+	}
+	return &later
+}
--- a/link/messages.go
+++ b/link/messages.go
@@ -106,6 +106,9 @@
 	Token int64 `msgpack:"t"`
 	// Lease is the length of the lease that a grant gives.
 	Lease time.Duration `msgpack:"l"`
+	// MaxLease is the longest lease that the worker accepts, or 0 if the owner does not
+	// tell.
+	MaxLease time.Duration `msgpack:"m,omitempty"`
 }
 
 // Stop orders a run to end.
--- a/shard/departure.go
+++ b/shard/departure.go
@@ -16,6 +16,9 @@
 // that it names and on the one before it, and its ends only on runs that still count as
 // present there. The agent reports the ends in its next session too, which acknowledges
 // them.
+//
+// The agent extends no lease after it has told how long the last one runs, so that bounds
+// the leases of all owners.
 func (sc *Scheduler) ApplyDeparture(d link.Departure, now time.Time) (spar.Life, bool) {
 	w := sc.workers[d.Node]
 	if w == nil {
@@ -32,16 +35,32 @@
 			ends++
 		}
 	}
-	if ends == 0 && !d.Left {
+	shortened := sc.shortenLeases(w, d.LeaseLeft)
+	if ends == 0 && !d.Left && !shortened {
 		return spar.Life{}, false
 	}
-	sc.onEvent(Event{Name: "departure applied", Node: w.node, Reason: fmt.Sprintf("%s born %d, %d ends, left %v", d.Life.ID, d.Life.Born, ends, d.Left)})
+	sc.onEvent(Event{Name: "departure applied", Node: w.node, Reason: fmt.Sprintf("%s born %d, %d ends, left %v, leases end in %s", d.Life.ID, d.Life.Born, ends, d.Left, w.leasesExpire.Sub(now).Round(time.Millisecond))})
 	if d.Left {
 		sc.endLife(w, "worker has left")
 	}
 	return d.Life, d.Left
 }
 
+// shortenLeases applies a bound of the leases on a worker, if there is one, and reports
+// whether they end earlier by that. After a session in this term they are known anyway, and
+// the bound may be of an agent process before that.
+func (sc *Scheduler) shortenLeases(w *worker, left *time.Duration) bool {
+	if left == nil || !w.restored {
+		return false
+	}
+	end := sc.now.Add(*left + ClockDriftMargin(sc.limits.Lease))
+	if !end.Before(w.leasesExpire) {
+		return false
+	}
+	w.leasesExpire = end
+	return true
+}
+
 // endEarlierLife ends the life of a worker whose node has had a later one, and reports
 // whether it did. An order to the earlier life may be carried out late in one of the same
 // name, so that does not end it; see Connect.
--- a/shard/departure_test.go
+++ b/shard/departure_test.go
@@ -150,3 +150,45 @@
 		})
 	}
 }
+
+// An agent has told when the leases on a silent worker end, and a new process of it has had
+// a session with the owner since, and may have extended one. That must be waited for.
+func TestBoundOfLeasesFromBeforeASessionHasNoEffect(t *testing.T) {
+	h := newHarness(t)
+	h.connect("n1")
+	o := h.submitAndStart("j1", "checks", shortStep(1))
+	h.replaceOwner(12 * time.Second)
+	h.connectLife("n1", spar.Life{ID: "i-n1", Born: 1}, spar.Running{Task: o.Task, Run: o.Run})
+	h.connect("n2")
+	d := departureOf("n1", false)
+	d.LeaseLeft = new(time.Duration)
+	h.scheduler.ApplyDeparture(d, h.now)
+	h.now = h.now.Add(shard.ClockDriftMargin(limits.Lease) + time.Second)
+	h.expectStarts(h.runCycle(), 0)
+}
+
+// A worker has signed off and leaves calls without an answer. Its agent has told when the
+// leases on it end, and is gone. The next owner must wait for them, and no longer.
+func TestNextOwnerWaitsForTheLeasesOfASilentWorker(t *testing.T) {
+	h := newHarness(t)
+	h.connect("n1")
+	o := h.submitAndStart("j1", "checks", shortStep(1))
+	h.replaceOwner(12 * time.Second)
+	h.connect("n2")
+	d := departureOf("n1", false)
+	left := 2 * time.Second
+	d.LeaseLeft = &left
+	for range 2 {
+		if _, over := h.scheduler.ApplyDeparture(d, h.now); over {
+			t.Error("the life is over before its leases are")
+		}
+		h.expectStarts(h.runCycle(), 0)
+	}
+	h.now = h.now.Add(left)
+	h.report("n2", &link.AgentMessage{Heartbeat: 2})
+	h.expectStarts(h.runCycle(), 0)
+	h.now = h.now.Add(shard.ClockDriftMargin(limits.Lease) + time.Millisecond)
+	if again := h.expectStarts(h.runCycle(), 1)[0]; again.Task != o.Task || again.Run != 2 {
+		t.Errorf("run %d of %v starts", again.Run, again.Task)
+	}
+}
