--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -39,7 +39,7 @@
 	earlyCancels map[string]time.Time
 	// expiredCancels are those whose job has not arrived within the retention.
 	expiredCancels []string
-	workers      map[string]*worker
+	workers        map[string]*worker
 	// lifeEnds holds, by node, when the last life began whose end was reported.
 	lifeEnds map[string]int64
 	// suspects are the tasks with crashes in their history, and trials the slots
