Owner: joins are sent while the answers to earlier ones are late

Callers saw: after a change of the owner on entries with a link of 10 Mbit/s, ownership goes to and fro between two entries.

Cause: the membership lasts while joins arrive at the store, with a TTL of 1 s. A join was sent three times within 0.2 s, and the next one waited for an answer, which comes behind what the owner reads: one page of 1 MB takes 0.84 s. After a time of late answers, the repeats came later still, four times the mean duration.

Change: while there is no answer, the join is sent again after one join interval at the latest, 7 times and for 1.5 s in all, under the same generation. The term counts from the sending of the join that was answered. Since an answer may be later now, a ready term also ends as lapsed if the generation has changed and the answer comes after its expiry; a term that still takes over stores a record under its epoch, which fails if another owner came between.

Evidence: TestJoinsAreSentWhileAnswersAreLate, answers after 1.2 s. Before: no join for 1.09 s; now 0.5 s at most. Without any answer, 4.7 joins a second (from the schedule, not measured).

Weighed and dropped: joins that don't wait for one another, each with the newest generation. A member that joins the group then has joins with an old generation in flight that take back what it has acknowledged.

--- a/entry/owner/candidate.go
+++ b/entry/owner/candidate.go
@@ -30,6 +30,13 @@
 // that fire late.
 const termMargin = 100 * time.Millisecond
 
+const (
+	// joinWait is how long the answer to a join may take, and maxJoins how often the
+	// join is sent in that time.
+	joinWait = 1500 * time.Millisecond
+	maxJoins = 7
+)
+
 // Candidate takes part in the election and owns the shard while it is elected.
 type Candidate struct {
 	common.Common
@@ -103,9 +110,9 @@
 	var generation int64
 	failing := false
 	for ctx.Err() == nil {
-		sent := c.clock()
+		begun := c.clock()
 		member := spar.Member{Group: ownersGroup, Name: c.member, Topic: link.OwnerTopic, TTL: c.settings.ttl(), Generation: generation}
-		membership, err := hedge.Do(ctx, &c.joinLatency, func(ctx context.Context, _ int) (spar.Membership, error) { return c.store.Join(ctx, member) })
+		membership, sent, err := c.join(ctx, member)
 		switch {
 		case err != nil:
 			if !failing {
@@ -122,8 +129,27 @@
 			c.applyMembership(ctx, membership, sent)
 			c.publishAddress(ctx)
 		}
-		track.Pause(ctx, c.settings.join()-min(c.clock()-sent, c.settings.join()*3/4))
+		track.Pause(ctx, c.settings.join()-min(c.clock()-begun, c.settings.join()*3/4))
+	}
+}
+
+// join sends a join, and sends it again at each join interval at the latest while there
+// is no answer: the membership lasts as long as joins arrive at the store, and on a slow
+// link answers may be late. All of them have the same generation, so that none takes back
+// what a later one has acknowledged. It returns when the one that was answered was sent.
+func (c *Candidate) join(ctx context.Context, m spar.Member) (spar.Membership, time.Duration, error) {
+	type answer struct {
+		spar.Membership
+		sent time.Duration
 	}
+	ctx, cancel := context.WithTimeout(ctx, joinWait)
+	defer cancel()
+	a, err := hedge.DoOften(ctx, &c.joinLatency, c.settings.join(), maxJoins, func(ctx context.Context, _ int) (answer, error) {
+		sent := c.clock()
+		membership, err := c.store.Join(ctx, m)
+		return answer{membership, sent}, err
+	})
+	return a.Membership, a.sent, err
 }
 
 // applyMembership begins, extends or ends the term according to the answer to a
@@ -140,7 +166,7 @@
 	case isOwner && t.hasFailed():
 		c.endTerm(ctx, "fenced")
 		c.beginTerm(ctx, membership.Generation, until)
-	case isOwner && sent > t.expiresAt() && membership.Generation != t.generation:
+	case isOwner && membership.Generation != t.generation && c.mayHaveLapsed(t, sent):
 		// Another entry may have owned the shard in between.
 		c.endTerm(ctx, "lapsed")
 		c.beginTerm(ctx, membership.Generation, until)
@@ -150,6 +176,13 @@
 	}
 }
 
+// mayHaveLapsed reports whether the membership may have ended before the join that was
+// sent at a time and has just been answered was carried out. A term that takes over
+// still has to store a record under its epoch, which fails if another owner came between.
+func (c *Candidate) mayHaveLapsed(t *term, sent time.Duration) bool {
+	return sent > t.expiresAt() || t.isReady() && c.clock() > t.expiresAt()
+}
+
 // termBits is the number of low bits of an epoch that count the terms within a
 // generation. A second term in the same generation needs an epoch of its own:
 // its sequence numbers start from the beginning, and under the old epoch the
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -76,16 +77,33 @@
 	return DoLarge(ctx, latency, 0, call)
 }
 
+// DoOften is Do for a call that has to arrive often although answers may be late. It is
+// made as many times as calls says at most, and repeated after maxDelay at the latest.
+func DoOften[T any](ctx context.Context, latency *Latency, maxDelay time.Duration, calls int, call func(ctx context.Context, try int) (T, error)) (T, error) {
+	return do(ctx, latency, schedule{maxDelay: maxDelay, maxCalls: calls}, call)
+}
+
 // DoLarge is Do for a call that sends a number of bytes.
 func DoLarge[T any](ctx context.Context, latency *Latency, bytes int, call func(ctx context.Context, try int) (T, error)) (T, error) {
-	results := make(chan result[T], maxCalls)
+	return do(ctx, latency, schedule{extraDelay: TransferTime(bytes), maxDelay: math.MaxInt64, maxCalls: maxCalls}, call)
+}
+
+// schedule is when and how often a call is repeated.
+type schedule struct {
+	// extraDelay is added to the first delay, and maxDelay bounds each.
+	extraDelay, maxDelay time.Duration
+	maxCalls             int
+}
+
+func do[T any](ctx context.Context, latency *Latency, s schedule, call func(ctx context.Context, try int) (T, error)) (T, error) {
+	results := make(chan result[T], s.maxCalls)
 	launch := func(try int) {
 		begun := time.Now()
 		v, err := call(ctx, try)
 		results <- result[T]{v, err, time.Since(begun)}
 	}
 	go launch(0)
-	started, inFlight, delay, unsure := 1, 1, latency.hedgeDelay()+TransferTime(bytes), false
+	started, inFlight, delay, unsure := 1, 1, min(latency.hedgeDelay()+s.extraDelay, s.maxDelay), false
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	var zero T
@@ -94,10 +112,10 @@
 		case <-ctx.Done():
 			return zero, errors.Mark(errors.Wrap(ctx.Err(), "wait for an answer"), spar.ErrUnknown)
 		case <-timer.C:
-			if started < maxCalls {
+			if started < s.maxCalls {
 				go launch(started)
 				started, inFlight = started+1, inFlight+1
-				delay *= 2
+				delay = min(2*delay, s.maxDelay)
 				timer.Reset(delay)
 			}
 		case r := <-results:
