Owner: a young worker without earlier lives is not waited for in full

Cause: orders to an earlier life of the same name that arrive late may have given the life a lease of up to the longest, so a new owner took no life that young for covered by what earlier owners granted. That there was no earlier life, or when such leases expire, was known to the owner before and not stored.

Change: the owner stores, by node, from when on a young life has no such lease. A worker rejects orders to earlier lives once it is listed under a token of the term, so that is the longest lease (10.25 s) after its first listing in the term; or at once, if the term is the first of the deployment (no owner record, no progress) and no other life of the name has had a session. The records ('#granted/NODE', about 40 bytes) go along with commits that have other records, and are dropped with one once the life is old; no call is added. The next owner waits until then plus 5 s for the difference of clocks, and in full if there is no record, it is of another life, or an owner of an earlier build was in between when the life began. Such a build logs the key as unknown and leaves it.

Why it is safe: nothing but sessions of owners sends orders with leases. The record names ID and birth; a later life of the name does not match. The full wait bounds it as before.

TestNewOwnerWaitsForYoungWorkerOnlyIfOrdersToAnEarlierLifeMayArrive and TestOnlyTheFirstTermTakesNamesWithoutSessionForUnused fail if names with several lives count as unused, if no lease or no difference of clocks is counted after the listing, if a record of any life of the name counts, if a missing one does, or if each term counts as the first (each tried).

--- a/entry/owner/predecessors.go
+++ b/entry/owner/predecessors.go
@@ -192,8 +192,9 @@
 	if len(p.unsettled) > 0 || end.After(p.waitUntil) {
 		return p.waitUntil
 	}
+	now := time.Now()
 	t.stateMu.Lock()
-	t.scheduler.ShortenRestoredLeases(end, time.Now())
+	t.scheduler.ShortenRestoredLeases(end, now, now)
 	t.stateMu.Unlock()
 	t.wakeLoop()
 	return end
--- a/entry/owner/takeover.go
+++ b/entry/owner/takeover.go
@@ -25,8 +25,9 @@
 	t.jobs.ContinueFrom(jobs, jobsReadAt)
 	t.entries = entries.Records
 	t.predecessors.unsettled = t.findPredecessors(t.entries, state.Records)
+	isFirst := len(t.predecessors.unsettled) == 0
 	t.settleOwn()
-	runs, workers := t.restore(jobs.Records, state.Records)
+	runs, workers := t.restore(jobs.Records, state.Records, isFirst)
 	t.predecessors.recordSeq = 1
 	if !t.appendFenced(ctx, link.OwnerTopic, t.predecessors.recordSeq, t.ownerRecord()) {
 		return false
@@ -40,10 +41,13 @@
 
 // restore loads the stored state and what agents have told of departures. It returns the
 // number of runs that earlier owners left, and of their workers.
-func (t *term) restore(jobs, state []spar.Record) (runs, workers int) {
+func (t *term) restore(jobs, state []spar.Record, isFirst bool) (runs, workers int) {
 	now := time.Now()
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
+	if isFirst {
+		t.scheduler.BeginFirstTerm()
+	}
 	t.applyConfig()
 	t.applySubmissions(jobs, func(j spar.Job) { t.scheduler.SubmitEarlier(j, now, now) })
 	t.predecessors.waitUntil = now.Add(t.settings.maxEarlierLease())
--- a/shard/commit.go
+++ b/shard/commit.go
@@ -63,6 +63,9 @@
 		}
 		sc.modelCheckedAt = sc.now
 	}
+	if len(out.Records) > 0 && !sc.wall.IsZero() {
+		out.Records = append(out.Records, sc.grantedLifeRecords()...)
+	}
 	sc.changedJobs, sc.claimedRuns, sc.pendingAcks = map[*job]bool{}, nil, map[*worker]int64{}
 	sc.droppedKeys = nil
 	return out
--- a/shard/earlier_lease.go
+++ b/shard/earlier_lease.go
@@ -9,13 +9,21 @@
 // granted have expired at a time. It applies to the workers that have not had a session
 // since the state was restored: their runs count as present until then at the latest.
 //
-// It does not apply to a life that began a short time before. Orders to an earlier life
-// of the same name may have given it a longer lease; see Connect.
-func (sc *Scheduler) ShortenRestoredLeases(expire, wall time.Time) {
-	bornBefore := wall.Add(-maxOrderDelay - sc.limits.MaxLease - ClockDriftMargin(sc.limits.MaxLease) - maxClockDifference).UnixMilli()
+// Orders to an earlier life of the same name may have given a young life a longer lease;
+// see Connect. The wait is for those, too, or as it was if it is not known when they
+// expire. now is a monotonic time and wall the time of day.
+func (sc *Scheduler) ShortenRestoredLeases(expire, now, wall time.Time) {
 	for _, w := range sc.workers {
-		if w.restored && w.info.Life.Born < bornBefore && expire.Before(w.leasesExpire) {
-			w.leasesExpire = expire
+		if !w.restored {
+			continue
+		}
+		stray, known := sc.strayLeasesExpire(w, now, wall)
+		end := expire
+		if stray.After(end) {
+			end = stray
+		}
+		if known && end.Before(w.leasesExpire) {
+			w.leasesExpire = end
 		}
 	}
 }
--- a/shard/report.go
+++ b/shard/report.go
@@ -185,6 +185,9 @@
 		sc.removeRun(r)
 	}
 	w.listed = true
+	if w.fencedAt.IsZero() {
+		w.fencedAt = now
+	}
 	if w.info.Draining {
 		// An earlier owner or session may not have stopped them.
 		sc.stopMovableRuns(w)
@@ -192,6 +195,6 @@
 	if w.nameReused {
 		// From now on the worker rejects orders to its previous life.
 		w.nameReused = false
-		w.leasesExpire = now.Add(sc.limits.MaxLease + ClockDriftMargin(sc.limits.MaxLease))
+		w.leasesExpire = now.Add(sc.limits.strayLeaseTime())
 	}
 }
--- a/shard/restore.go
+++ b/shard/restore.go
@@ -48,6 +48,9 @@
 	if rest, ok := strings.CutPrefix(r.Key, crashPrefix); ok {
 		return sc.restoreCrashes(rest, r.Value)
 	}
+	if node, ok := strings.CutPrefix(r.Key, grantedPrefix); ok {
+		return sc.restoreGrantedLife(node, r.Value)
+	}
 	return errors.New("unknown key")
 }
 
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -40,6 +40,10 @@
 	workers      map[string]*worker
 	// lifeEnds holds, by node, when the last life began whose end was reported.
 	lifeEnds map[string]int64
+	// names is set in the first term of a deployment. grantedLives holds, by node, the
+	// lives of the stored records that grantedPrefix begins.
+	names        namesInTerm
+	grantedLives map[string]grantedLife
 	// suspects are the tasks with crashes in their history, and trials the slots
 	// for their trials that the current Plan has left.
 	suspects    map[*task]bool
@@ -71,9 +75,10 @@
 	storedModel    []byte
 	modelCheckedAt time.Time
 	waits          waits
-	// now is the time of the latest Tick or HandleReport call.
-	now     time.Time
-	onEvent func(Event)
+	// now is the time of the latest Tick or HandleReport call, and wall the time of day
+	// at the latest Tick.
+	now, wall time.Time
+	onEvent   func(Event)
 }
 
 // NewScheduler returns the scheduler of an empty shard. It calls onEvent for
@@ -82,7 +87,7 @@
 	return &Scheduler{
 		limits: l, queues: map[string]spar.Queue{}, closedDomains: map[string]bool{},
 		jobs: map[string]*job{}, activeJobs: map[*job]bool{}, earlyCancels: map[string]time.Time{},
-		workers: map[string]*worker{}, lifeEnds: map[string]int64{}, suspects: map[*task]bool{}, changedJobs: map[*job]bool{},
+		workers: map[string]*worker{}, lifeEnds: map[string]int64{}, grantedLives: map[string]grantedLife{}, suspects: map[*task]bool{}, changedJobs: map[*job]bool{},
 		pendingStops: map[*run]bool{}, pendingPaces: map[*run]bool{}, pendingAcks: map[*worker]int64{}, onEvent: onEvent,
 	}
 }
@@ -266,7 +271,7 @@
 // reports standing tasks that do not run.
 // now is a monotonic time and wall the time of day.
 func (sc *Scheduler) Tick(now, wall time.Time) {
-	sc.now = now
+	sc.now, sc.wall = now, wall
 	for _, w := range sc.workers {
 		// This also applies to a worker with a session: an agent that cannot
 		// renew the leases on its worker requests no grants.
--- a/shard/session.go
+++ b/shard/session.go
@@ -23,6 +23,7 @@
 // maxLeaseLeft, if the agent reports it, bounds the remaining time of the leases
 // on the worker; otherwise they last no longer than one granted now.
 func (sc *Scheduler) Connect(node string, info spar.WorkerInfo, token int64, maxLeaseLeft *time.Duration, now time.Time) {
+	sc.recordName(info.Life)
 	old := sc.workers[node]
 	if old != nil && old.info.Life == info.Life {
 		old.info, old.token, old.listed, old.restored = info, token, false, false
@@ -40,7 +41,7 @@
 		sc.onEvent(Event{Name: "worker in a new life", Node: node, Reason: info.Life.ID})
 		if old.info.Life.ID == info.Life.ID {
 			w.nameReused = true
-			w.leasesExpire = now.Add(maxOrderDelay + sc.limits.MaxLease + ClockDriftMargin(sc.limits.MaxLease))
+			w.leasesExpire = now.Add(maxOrderDelay + sc.limits.strayLeaseTime())
 			sc.transferRuns(w, old)
 		}
 		sc.endLife(old, "worker in a new life")
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -30,6 +30,9 @@
 	// nameReused reports whether the previous life had the same name, so that
 	// start orders to it may still arrive in this one.
 	nameReused bool
+	// fencedAt is when the worker was first listed under a token of this term. From then
+	// on it rejects orders of earlier sessions.
+	fencedAt time.Time
 	// ackedEnd is the number of the last stored end of a run.
 	ackedEnd int64
 	// failureScore grows with failures and refusals and decays over time.
