--- a/entry/owner/expiry.go
+++ b/entry/owner/expiry.go
@@ -19,8 +19,8 @@
 
 // dropExpired drops the submissions of the jobs that have ended, and of those whose
 // retention is over, which are then forgotten. It also drops departures that were handled
-// and cancels whose job has not arrived.
-// It works beside the loop, so that a partition that is down does not hold up commits.
+// and cancels whose job has not arrived. It works beside the loop, so that a partition that
+// is down does not hold up commits.
 func (t *term) dropExpired(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -4,8 +4,9 @@
 
 // progress is the stored form of a job's state, and of the progress of its tasks unless
 // that is stored in parts. That of a job that has ended has, in place of its occurrences,
-// one whose number is the time of the end in Unix seconds. It and the types below are encoded as arrays, whose fields
-// must stay as they are: a record with more or fewer cannot be read by another build.
+// one whose number is the time of the end in Unix seconds. It and the types below are
+// encoded as arrays, whose fields must stay as they are: a record with more or fewer cannot
+// be read by another build.
 type progress struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	State    State
