Admin: a job is denied only after the log was read up to the request

Cause (KNOWN-RED, TestScenario/ShowWhileBusy): an entry that has not yet read the record of a job from the log answered 404, though another entry had accepted the job. A cancel was denied the same way.

Change: a request about an unknown job waits until a read of the log that was sent after its arrival has reached the head, at most 2 s, and is answered 503 with Retry-After if the log can't be read.

--- a/entry/admin/admin.go
+++ b/entry/admin/admin.go
@@ -165,9 +165,8 @@
 
 func (a *Admin) cancel(c *fasthttp.RequestCtx) {
 	job := c.UserValue("job").(string)
-	team, ok := a.teamOf(job)
+	team, ok := readJob(a, c, job, teamOf)
 	if !ok {
-		writeError(c, fasthttp.StatusNotFound, "job", "no job "+job)
 		return
 	}
 	if !a.authorizes(c, team) {
@@ -194,18 +193,11 @@
 }
 
 func (a *Admin) hasJob(job string) bool {
-	_, ok := a.teamOf(job)
+	_, ok := findJob(a, job, teamOf)
 	return ok
 }
 
-func (a *Admin) teamOf(job string) (team string, ok bool) {
-	a.tail.View(func(f *fold.State) {
-		if j := f.Job(job); j != nil {
-			team, ok = j.Spec().GetTeam(), true
-		}
-	})
-	return team, ok
-}
+func teamOf(j *fold.Job) string { return j.Spec().GetTeam() }
 
 func writeError(c *fasthttp.RequestCtx, status int, field, text string) {
 	c.SetStatusCode(status)
--- a/entry/admin/show.go
+++ b/entry/admin/show.go
@@ -35,19 +35,9 @@
 }
 
 func (a *Admin) show(c *fasthttp.RequestCtx) {
-	job := c.UserValue("job").(string)
-	var out JobResponse
-	known := false
-	a.tail.View(func(f *fold.State) {
-		if j := f.Job(job); j != nil {
-			out, known = a.jobResponse(j), true
-		}
-	})
-	if !known {
-		writeError(c, fasthttp.StatusNotFound, "job", "no job "+job)
-		return
+	if out, ok := readJob(a, c, c.UserValue("job").(string), a.jobResponse); ok {
+		writeJSON(c, out)
 	}
-	writeJSON(c, out)
 }
 
 func (a *Admin) jobResponse(j *fold.Job) JobResponse {
