--- /dev/null
+++ b/admit/load.go
@@ -0,0 +1,54 @@
+package admit
+
+import "time"
+
+// Load is what is known of the services at one moment. The zero value knows nothing.
+type Load struct {
+	// Age is the time since it was computed.
+	Age      time.Duration
+	Services map[string]Service
+}
+
+// Service is the backlog of the workers of one service. Reserved holds the work that
+// takes room of its own, and Filling that which takes what serving tasks leave unused.
+type Service struct {
+	Reserved Backlog `json:"reserved,omitzero"`
+	Filling  Backlog `json:"filling,omitzero"`
+}
+
+// Backlog is work that has not started and the rate at which it can be done.
+type Backlog struct {
+	// DrainMilli is the rate, in thousandths of a processor. 0 is not known.
+	DrainMilli int64 `json:"drain_milli,omitempty"`
+	// Waiting is the work by priority.
+	Waiting []Waiting `json:"waiting,omitempty"`
+}
+
+// Waiting is the work of one priority that has not started.
+type Waiting struct {
+	// Priority 0 is the highest.
+	Priority int `json:"priority,omitempty"`
+	// Work is the time that it takes on one processor, by its estimates.
+	Work time.Duration `json:"work_ns"`
+	// Tasks is the number of tasks, and Oldest how long the first of them has waited.
+	Tasks  int           `json:"tasks"`
+	Oldest time.Duration `json:"oldest_ns"`
+}
+
+// WaitAt returns how long the backlog takes that goes before or beside work of a
+// priority, and false if that is not known.
+func (b Backlog) WaitAt(priority int) (time.Duration, bool) {
+	var ahead time.Duration
+	for _, w := range b.Waiting {
+		if w.Priority <= priority {
+			ahead += w.Work
+		}
+	}
+	if ahead <= 0 {
+		return 0, true
+	}
+	if b.DrainMilli <= 0 {
+		return 0, false
+	}
+	return time.Duration(float64(ahead) * 1000 / float64(b.DrainMilli)), true
+}
--- /dev/null
+++ b/admit/request.go
@@ -0,0 +1,52 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/berylspar/spar"
+)
+
+// History is what is known of earlier tries to hand a job in.
+type History int
+
+const (
+	// MayBeAccepted is the history of a job of which an earlier try may have been
+	// stored. It is the zero value, so that what is not known is never refused.
+	MayBeAccepted History = iota
+	// NeverAccepted is the history of a job of which no try can have been stored.
+	NeverAccepted
+)
+
+// Request is a job that a caller hands in.
+type Request struct {
+	ID       string
+	Service  string
+	Priority int
+	// Objective is the time in which the job should complete.
+	Objective time.Duration
+	// Standing is set if a part of the job runs until it is cancelled.
+	Standing bool
+	// Reserves and Fills are set if a part of the job takes room of its own, or what
+	// serving tasks leave unused.
+	Reserves, Fills bool
+	History         History
+	// Refusals is how often the job was refused before.
+	Refusals int
+	// Patience is how long the caller goes on trying; 0 is not known.
+	Patience time.Duration
+}
+
+// NewRequest describes a job by its steps and the objective of its queue. shortestPath
+// is the longest chain of its steps, by their estimates.
+func NewRequest(j *spar.Job, shortestPath time.Duration) Request {
+	q := j.Policy
+	r := Request{ID: j.ID, Service: q.Service, Priority: q.Priority, Objective: time.Duration(q.Stretch*float64(shortestPath)) + q.Slack}
+	for _, s := range j.Steps {
+		r.Standing = r.Standing || s.Standing
+		r.Fills = r.Fills || s.Fills
+		r.Reserves = r.Reserves || !s.Fills
+	}
+	// An occurrence in the future meets another backlog than today's.
+	r.Standing = r.Standing || j.Times > 0
+	return r
+}
