--- a/entry/intake/fake_test.go
+++ b/entry/intake/fake_test.go
@@ -28,10 +28,12 @@
 	mu sync.Mutex
 	// topicSilent leaves appends without an answer.
 	topicSilent bool
-	freeAt      time.Time
-	appends     int
-	refusals    int
-	stored      map[string]time.Time
+	// refusing refuses all appends.
+	refusing bool
+	freeAt   time.Time
+	appends  int
+	refusals int
+	stored   map[string]time.Time
 }
 
 const maxQueue, callTimeout = 2 * time.Second, 1500 * time.Millisecond
@@ -44,7 +46,7 @@
 	}
 	wait := f.freeAt.Sub(now)
 	f.appends++
-	if wait > maxQueue {
+	if wait > maxQueue || f.refusing {
 		f.refusals++
 		f.mu.Unlock()
 		return 0, errors.Mark(errors.New("busy"), spar.ErrRefused)
--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -41,6 +41,10 @@
 	// retryPause is the pause after an append without an answer; pauses double up
 	// to maxRetryPause.
 	retryPause, maxRetryPause = 40 * time.Millisecond, 320 * time.Millisecond
+	// minRefusals is how many appends in a row the store must have refused until
+	// records are refused without a call. A store that refuses a part of its calls
+	// reaches that rarely.
+	minRefusals = 4
 	// newestWeight is the weight of the newest duration in the moving mean.
 	newestWeight = 0.3
 	// maxBatchBytes bounds one append, well below what the store accepts.
@@ -65,8 +69,10 @@
 	calledAt time.Time
 	// mean is the moving mean of the duration of an append.
 	mean time.Duration
-	// repeats counts the repeats since the last success.
-	repeats int
+	// repeats counts the repeats since the last success, and refusals the appends in a
+	// row that the store has refused; refusedSince is when the first of them ended.
+	repeats, refusals int
+	refusedSince      time.Time
 	// pause is the last pause after an append without success.
 	pause time.Duration
 	timer *time.Timer
@@ -93,6 +99,9 @@
 // IsSilent reports whether the store, or the topic alone, does not answer.
 func (w *Writer) IsSilent() bool { return w.store.IsSilent() || w.door.IsClosed(time.Now()) }
 
+// isRefusing reports whether the store refuses all appends to the topic.
+func (w *Writer) isRefusing() bool { return w.refusals >= minRefusals }
+
 // Write stores a record. Without a result until the context ends it fails with
 // spar.ErrUnknown, or with spar.ErrRefused if the record was never sent.
 func (w *Writer) Write(ctx context.Context, r spar.Record) error {
@@ -142,14 +151,18 @@
 }
 
 // pump starts the next append if it is due, and has the timer call it again while
-// there is something to do. While the topic is silent it refuses the records that
-// were not sent, and an empty append probes whether the topic answers.
+// there is something to do. While the topic is silent, or the store refuses all
+// appends, it refuses the records that were not sent, and an empty append probes
+// whether the topic is back.
 func (w *Writer) pump(now time.Time) {
-	silent := w.IsSilent()
-	if silent {
-		w.refuseUnsent()
+	silent, refusing := w.IsSilent(), w.isRefusing()
+	switch {
+	case silent:
+		w.refuseUnsent("the store does not answer")
+	case refusing:
+		w.refuseUnsent("the store refuses all appends")
 	}
-	probe := silent && w.door.IsClosed(now) && now.Sub(w.calledAt) < probeDuration
+	probe := (silent && w.door.IsClosed(now) || refusing) && now.Sub(w.calledAt) < probeDuration
 	if len(w.open) == 0 && !probe {
 		return
 	}
@@ -190,10 +203,10 @@
 }
 
 // refuseUnsent refuses the records that no append contained.
-func (w *Writer) refuseUnsent() {
+func (w *Writer) refuseUnsent(reason string) {
 	for _, it := range append([]*item(nil), w.open...) {
 		if !it.sent {
-			w.resolve(it, errors.Mark(errors.New("the store does not answer"), spar.ErrRefused))
+			w.resolve(it, errors.Mark(errors.New(reason), spar.ErrRefused))
 		}
 	}
 }
@@ -251,8 +264,12 @@
 		w.repeats, w.pause, w.nextAt = 0, 0, time.Time{}
 	} else {
 		w.pause = min(max(2*w.pause, retryPause), maxRetryPause)
+		if w.isRefusing() {
+			w.pause = min(w.pause, probeInterval)
+		}
 		w.nextAt = time.Now().Add(w.pause)
 	}
+	w.countRefusal(err)
 	if len(batch) > 1 && errors.Is(err, spar.ErrInvalid) {
 		// The content that is refused may be that of another record.
 		err = errors.Mark(errors.Newf("append of %d records: %v", len(batch), err), spar.ErrRefused)
@@ -272,3 +289,25 @@
 	}
 	w.pump(time.Now())
 }
+
+// countRefusal counts the appends in a row that the store refuses whatever their content
+// is. An append without an answer says nothing.
+func (w *Writer) countRefusal(err error) {
+	now := time.Now()
+	switch {
+	case err == nil || errors.Is(err, spar.ErrInvalid):
+		if w.isRefusing() {
+			w.store.Info("store stores records again", "topic", w.topic, "refused_for", now.Sub(w.refusedSince))
+		}
+		w.refusals = 0
+	case errors.Is(err, spar.ErrRefused) && isAnswer(err):
+		w.refusals++
+		if w.refusals == 1 {
+			w.refusedSince = now
+		}
+		if w.refusals == minRefusals {
+			w.store.Warn("store refuses all records; new ones are refused without a call", "topic", w.topic, "refused_for", now.Sub(w.refusedSince), "err", err)
+			w.store.Counter("store_refusing").Inc(1)
+		}
+	}
+}
--- a/entry/intake/writer_test.go
+++ b/entry/intake/writer_test.go
@@ -205,6 +205,36 @@
 	})
 }
 
+// Load pattern: callers go on while the store refuses everything. A record that waited
+// for the end of the pause after the last refusal would cost its caller a good part of
+// its time, and its next try the rest.
+func TestRefusingStoreRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		f := newFakeStore(2 * time.Millisecond)
+		f.refusing = true
+		w := NewWriter(NewStore(quiet(), f), "jobs")
+		callers([]*Writer{w}, 20, 50*time.Millisecond, 3*time.Second)
+		for i := range 20 {
+			began := time.Now()
+			if err := w.Write(t.Context(), spar.Record{Key: "late"}); !errors.Is(err, spar.ErrRefused) || time.Since(began) > 10*time.Millisecond {
+				t.Fatalf("write %d: %v after %s, want a refusal at once", i, err, time.Since(began))
+			}
+			time.Sleep(70 * time.Millisecond)
+		}
+		f.mu.Lock()
+		f.refusing = false
+		if n := f.appends; n > 30 {
+			t.Errorf("%d appends to a store that refuses all of them", n)
+		}
+		f.mu.Unlock()
+		time.Sleep(2 * probeInterval)
+		if err := w.Write(t.Context(), spar.Record{Key: "after"}); err != nil {
+			t.Fatalf("after the refusals: %v", err)
+		}
+	})
+}
+
 // A caller that gives up learns whether its record may have been stored.
 func TestAbandonedRecordIsUnknownOnceSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
