Entries: a repeat of an accepted job is not refused while the store is away

What is in doubt is not refused later, and 504 is answered as soon as the store refuses the repeats. A caller with under 300 ms left gets its answer within half of that.

--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -59,6 +59,9 @@
 	retryPause = 40 * time.Millisecond
 	// queryTimeout bounds how long a query waits for an owner.
 	queryTimeout = 400 * time.Millisecond
+	// maxRefusedRepeats is how many repeats of a write of unknown outcome may be refused
+	// in a row. A store that is away for longer outlasts most callers.
+	maxRefusedRepeats = 3
 	// retryAfterSeconds is the Retry-After header of a refusal. By then a new
 	// owner should have taken over, or another entry can reach the store.
 	retryAfterSeconds = "1"
@@ -78,6 +81,8 @@
 	jobs     Jobs
 	format   Format
 	draining atomic.Bool
+	// submitted holds what is known of jobs that were handed in here.
+	submitted recentOutcomes
 }
 
 // NewServer returns a server.
@@ -170,11 +175,12 @@
 }
 
 // callerTimeout returns how long the caller waits, less the time for the answer
-// to reach it, but at least replyReserve.
+// to reach it: replyReserve, or half of a short wait.
 func (s *Server) callerTimeout(c *fasthttp.RequestCtx) time.Duration {
 	if raw := c.Request.Header.Peek(s.format.TimeoutHeader); len(raw) > 0 {
 		if n, err := fasthttp.ParseUint(raw); err == nil {
-			return max(time.Duration(n)*time.Millisecond-replyReserve, replyReserve)
+			patience := time.Duration(n) * time.Millisecond
+			return max(patience-replyReserve, patience/2)
 		}
 	}
 	return defaultTimeout
@@ -191,39 +197,53 @@
 		return
 	}
 	j.Policy = q
-	s.storeWithRetry(ctx, c, id, "job accepted", q.Name, func() error { return s.jobs.Submit(ctx, j) })
+	known := s.submitted.of(id, time.Now())
+	if known == stored {
+		s.Info("job accepted before", "job", id, "queue", q.Name)
+		s.Counter("repeats_answered").Inc(1)
+		return
+	}
+	o := s.storeWithRetry(ctx, c, id, "job accepted", q.Name, known == doubtful, func() error { return s.jobs.Submit(ctx, j) })
+	if o != notSeen {
+		s.submitted.record(id, o, time.Now())
+	}
 }
 
 func (s *Server) cancel(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id string) {
-	s.storeWithRetry(ctx, c, id, "cancel accepted", q.Name, func() error { return s.jobs.Cancel(ctx, id) })
+	s.storeWithRetry(ctx, c, id, "cancel accepted", q.Name, false, func() error { return s.jobs.Cancel(ctx, id) })
 }
 
 // storeWithRetry repeats a write until the store has answered or the caller's
-// time is over. It refuses the request only if no try of the write can have been
-// carried out.
-func (s *Server) storeWithRetry(ctx context.Context, c *fasthttp.RequestCtx, id, message, queue string, write func() error) {
-	unanswered, begun := 0, time.Now()
+// time is over, and returns what is known of it. It refuses the request only if no try
+// of the write, nor an earlier one that is in doubt, can have been carried out. When the
+// outcome is not known and the store refuses further tries, it answers so at once: the
+// caller can come again while it has time.
+func (s *Server) storeWithRetry(ctx context.Context, c *fasthttp.RequestCtx, id, message, queue string, inDoubt bool, write func() error) outcome {
+	unanswered, refusals, begun := 0, 0, time.Now()
 	for {
 		err := write()
+		refused := errors.Is(err, spar.ErrRefused)
 		switch {
 		case err == nil:
 			s.Info(message, "job", id, "queue", queue, "version", s.config.Load().Rules.Version, "unsure", unanswered, "took", time.Since(begun))
 			s.Counter("stored").Inc(1)
-			return
-		case errors.Is(err, spar.ErrInvalid) && unanswered == 0:
+			return stored
+		case errors.Is(err, spar.ErrInvalid) && unanswered == 0 && !inDoubt:
 			s.refuseInvalid(c, id, queue, err)
-			return
-		case errors.Is(err, spar.ErrRefused) && unanswered == 0:
+			return notSeen
+		case refused && unanswered == 0 && !inDoubt:
 			s.refuse(c, id, "store refuses", err)
-			return
-		case ctx.Err() != nil:
-			s.Warn("outcome unknown", "job", id, "queue", queue, "unsure", unanswered, "took", time.Since(begun), "err", err)
+			return notSeen
+		case ctx.Err() != nil || refused && refusals >= maxRefusedRepeats:
+			s.Warn("outcome unknown", "job", id, "queue", queue, "unsure", unanswered, "in_doubt", inDoubt, "refusals", refusals, "took", time.Since(begun), "err", err)
 			s.Counter("unknown").Inc(1)
 			c.SetStatusCode(fasthttp.StatusGatewayTimeout)
-			return
+			return doubtful
 		}
-		if !errors.Is(err, spar.ErrRefused) {
-			unanswered++
+		if refused {
+			refusals++
+		} else {
+			unanswered, refusals = unanswered+1, 0
 		}
 		track.Pause(ctx, retryPause)
 	}
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -52,8 +52,16 @@
 }
 
 // write stores a record. It is refused only if neither this entry nor another one
-// can have stored it.
+// can have stored it, and the owner, if it can be reached, does not know the job.
 func (c *Client) write(ctx context.Context, r spar.Record) error {
+	err := c.writeAnywhere(ctx, r)
+	if err != nil && c.candidate.knows(r) {
+		return nil
+	}
+	return err
+}
+
+func (c *Client) writeAnywhere(ctx context.Context, r spar.Record) error {
 	gathered := sendToOwner(c.gatheringOwner, func(owner string) error { return c.relay(ctx, owner, r) })
 	if gathered == nil || ctx.Err() != nil {
 		return gathered
@@ -119,12 +127,26 @@
 	if !errors.Is(err, spar.ErrRefused) || ctx.Err() != nil {
 		return err
 	}
+	// The owner knows whether the job was stored before.
+	if relayed := c.relayToOwner(ctx, r); !errors.Is(relayed, spar.ErrRefused) {
+		return relayed
+	}
 	if relayed := c.relayToPeer(ctx, r); !errors.Is(relayed, spar.ErrRefused) {
 		return relayed
 	}
 	return err
 }
 
+// relayToOwner stores a record through the owner. It is refused if no other entry is
+// known to be the owner.
+func (c *Client) relayToOwner(ctx context.Context, r spar.Record) error {
+	owner := c.directory.Owner()
+	if owner == nil || owner.PeerAddress == c.candidate.self.PeerAddress {
+		return errors.Mark(errors.New("no other entry is known to be the owner"), spar.ErrRefused)
+	}
+	return c.relay(ctx, owner.PeerAddress, r)
+}
+
 // relayToPeer stores a record through another entry. It is refused if none is
 // known.
 func (c *Client) relayToPeer(ctx context.Context, r spar.Record) error {
@@ -195,10 +217,10 @@
 	defer cancel()
 	// An append may still run after the request has been answered, when its body
 	// is reused.
-	value := append([]byte(nil), rc.PostBody()...)
-	err := c.jobs.Write(ctx, spar.Record{Key: key, Value: value})
+	record := spar.Record{Key: key, Value: append([]byte(nil), rc.PostBody()...)}
+	err := c.jobs.Write(ctx, record)
 	switch {
-	case err == nil:
+	case err == nil || c.knows(record):
 	case errors.Is(err, spar.ErrRefused):
 		rc.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default:
