--- a/admit/load.go
+++ b/admit/load.go
@@ -28,14 +28,16 @@
 type Waiting struct {
 	// Priority 0 is the highest.
 	Priority int `json:"priority,omitempty"`
-	// Work is the time that it takes on one processor, by its estimates.
+	// Work is the time that it takes on one processor, by its estimates, and Late that of
+	// jobs that are past their objective, which goes after all Work of the priority.
 	Work time.Duration `json:"work_ns"`
+	Late time.Duration `json:"late_ns,omitempty"`
 	// Tasks is the number of tasks, and Oldest how long the first of them has waited.
 	Tasks  int           `json:"tasks"`
 	Oldest time.Duration `json:"oldest_ns"`
 }
 
-// WaitAt returns how long the backlog takes that goes before or beside work of a
+// WaitAt returns how long the backlog takes that goes before or beside new work of a
 // priority, and false if that is not known.
 func (b Backlog) WaitAt(priority int) (time.Duration, bool) {
 	var ahead time.Duration
@@ -43,6 +45,9 @@
 		if w.Priority <= priority {
 			ahead += w.Work
 		}
+		if w.Priority < priority {
+			ahead += w.Late
+		}
 	}
 	if ahead <= 0 {
 		return 0, true
--- a/admit/property_test.go
+++ b/admit/property_test.go
@@ -12,7 +12,8 @@
 	b := func(name string) Backlog {
 		out := Backlog{DrainMilli: rapid.Int64Range(0, 100_000).Draw(t, name+" drain")}
 		for p := range 4 {
-			out.Waiting = append(out.Waiting, Waiting{Priority: p, Work: time.Duration(rapid.Int64Range(0, 3600).Draw(t, name+" work")) * time.Second})
+			out.Waiting = append(out.Waiting, Waiting{Priority: p, Work: time.Duration(rapid.Int64Range(0, 3600).Draw(t, name+" work")) * time.Second,
+				Late: time.Duration(rapid.Int64Range(0, 3600).Draw(t, name+" late")) * time.Second})
 		}
 		return out
 	}
--- a/shard/job.go
+++ b/shard/job.go
@@ -191,17 +191,11 @@
 // longestPath returns the length of the longest path through the steps, by
 // their estimates.
 func (o *occurrence) longestPath() time.Duration {
-	pathTo := make([]time.Duration, len(o.steps))
-	var longest time.Duration
+	steps := make([]spar.Step, len(o.steps))
 	for i, s := range o.steps {
-		var before time.Duration
-		for _, a := range s.After {
-			before = max(before, pathTo[a])
-		}
-		pathTo[i] = before + s.Estimate
-		longest = max(longest, pathTo[i])
+		steps[i] = s.Step
 	}
-	return longest
+	return ShortestPath(steps)
 }
 
 func (t *task) ref() spar.TaskRef {
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/admit"
 	"github.com/berylspar/spar/interf"
 	"github.com/cockroachdb/errors"
 )
@@ -74,6 +75,9 @@
 	pool              []*candidate
 	poolAt, plannedAt time.Time
 	interference      interf.Model
+	// loads is the load of each service at loadAt.
+	loads  map[string]admit.Service
+	loadAt time.Time
 	// storedModel is the last stored form of interference, and modelCheckedAt
 	// the last time at which PrepareCommit compared the two.
 	storedModel    []byte
