Entries, owner: jobs that are hopeless are refused, if admission is switched on

An entry that hears from the owner (on the answers to its queries) of a backlog that a job can't outlast asks the owner, which decides with its own newest load, and all entries whether they have tried to store the ID within 30 s. Only if none has, and all answer, is the job refused. Off by default: nothing is asked or told.

--- a/entry/intake/door.go
+++ b/entry/intake/door.go
@@ -103,6 +103,16 @@
 	return min(max(d.limits.silence, silenceFactor*d.mean), maxSilenceLimit)
 }
 
+// silentFor returns for how long no call was answered, or 0 if the door is open.
+func (d *Door) silentFor(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.closed || d.waitingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(d.waitingSince)
+}
+
 // IsClosed reports whether the store does not answer.
 func (d *Door) IsClosed(now time.Time) bool {
 	d.mu.Lock()
--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -99,6 +99,19 @@
 // IsSilent reports whether the store, or the topic alone, does not answer.
 func (w *Writer) IsSilent() bool { return w.store.IsSilent() || w.door.IsClosed(time.Now()) }
 
+// AwayFor returns for how long the store has stored nothing though it was asked to, or 0.
+func (w *Writer) AwayFor(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.IsSilent():
+		return max(w.store.door.silentFor(now), w.door.silentFor(now))
+	case w.refusals > 0:
+		return now.Sub(w.refusedSince)
+	}
+	return 0
+}
+
 // isRefusing reports whether the store refuses all appends to the topic.
 func (w *Writer) isRefusing() bool { return w.refusals >= minRefusals }
 
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/admit"
 	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/entry/config"
 	"github.com/berylspar/spar/entry/owner"
@@ -42,6 +44,14 @@
 	State(ctx context.Context, id string) (owner.JobStatus, error)
 	// Waiting returns the length of a queue.
 	Waiting(ctx context.Context, queue string) (int, error)
+	// Tried returns what is known here of earlier tries to hand a job in.
+	Tried(id string) owner.TryOutcome
+	// Admit decides whether a job is accepted. patience is how long its caller goes on
+	// trying, or 0.
+	Admit(ctx context.Context, j *spar.Job, patience time.Duration) admit.Verdict
+	// ReturnIn returns when a caller should come back that was refused for another
+	// reason.
+	ReturnIn(id string, q spar.Queue, patience time.Duration) time.Duration
 	// IsCutOffAlone reports whether the store does not answer this entry while
 	// it answers another one.
 	IsCutOffAlone() bool
@@ -62,9 +72,6 @@
 	// maxRefusedRepeats is how many repeats of a write of unknown outcome may be refused
 	// in a row. A store that is away for longer outlasts most callers.
 	maxRefusedRepeats = 3
-	// retryAfterSeconds is the Retry-After header of a refusal. By then a new
-	// owner should have taken over, or another entry can reach the store.
-	retryAfterSeconds = "1"
 	// idDigits is the length of a job's ID in hexadecimal digits.
 	idDigits = 16
 	// maxConfigAge is the age of the configuration above which the entry is not
@@ -81,8 +88,6 @@
 	jobs     Jobs
 	format   Format
 	draining atomic.Bool
-	// submitted holds what is known of jobs that were handed in here.
-	submitted recentOutcomes
 }
 
 // NewServer returns a server.
@@ -119,7 +124,7 @@
 	begun := time.Now()
 	rules := s.config.Load().Rules
 	if rules == nil {
-		s.refuse(c, "", "no configuration yet", nil)
+		s.refuse(c, spar.Queue{}, "", "no configuration yet", nil)
 		return
 	}
 	q, id := matchQueue(rules, string(c.Host()), string(c.Path()))
@@ -143,7 +148,7 @@
 	case c.IsPost():
 		s.submit(ctx, c, q, id)
 	case c.IsGet():
-		s.replyState(ctx, c, id)
+		s.replyState(ctx, c, q, id)
 	case c.IsDelete():
 		s.cancel(ctx, c, q, id)
 	default:
@@ -174,16 +179,24 @@
 	return strings.Trim(s, "0123456789abcdefABCDEF") == ""
 }
 
-// callerTimeout returns how long the caller waits, less the time for the answer
-// to reach it: replyReserve, or half of a short wait.
-func (s *Server) callerTimeout(c *fasthttp.RequestCtx) time.Duration {
+// patience returns how long the caller waits, or 0 if it doesn't tell.
+func (s *Server) patience(c *fasthttp.RequestCtx) time.Duration {
 	if raw := c.Request.Header.Peek(s.format.TimeoutHeader); len(raw) > 0 {
 		if n, err := fasthttp.ParseUint(raw); err == nil {
-			patience := time.Duration(n) * time.Millisecond
-			return max(patience-replyReserve, patience/2)
+			return max(time.Duration(n), 1) * time.Millisecond
 		}
 	}
-	return defaultTimeout
+	return 0
+}
+
+// callerTimeout returns how long the caller waits, less the time for the answer
+// to reach it: replyReserve, or half of a short wait.
+func (s *Server) callerTimeout(c *fasthttp.RequestCtx) time.Duration {
+	patience := s.patience(c)
+	if patience == 0 {
+		return defaultTimeout
+	}
+	return max(patience-replyReserve, patience/2)
 }
 
 func (s *Server) submit(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id string) {
@@ -193,52 +206,55 @@
 		return
 	}
 	if q.Advised && !s.format.HasAdviser {
-		s.refuse(c, id, "queue needs advice and no adviser is set", nil)
+		s.refuse(c, q, id, "queue needs advice and no adviser is set", nil)
 		return
 	}
 	j.Policy = q
-	known := s.submitted.of(id, time.Now())
-	if known == stored {
+	tried := s.jobs.Tried(id)
+	if tried == owner.Stored {
 		s.Info("job accepted before", "job", id, "queue", q.Name)
 		s.Counter("repeats_answered").Inc(1)
 		return
 	}
-	o := s.storeWithRetry(ctx, c, id, "job accepted", q.Name, known == doubtful, func() error { return s.jobs.Submit(ctx, j) })
-	if o != notSeen {
-		s.submitted.record(id, o, time.Now())
+	if tried == owner.NotTried {
+		if v := s.jobs.Admit(ctx, &j, s.patience(c)); v.IsRefused() {
+			s.refuseIn(c, id, "no room in time", v.Return, nil)
+			return
+		}
 	}
+	s.storeWithRetry(ctx, c, q, id, "job accepted", tried == owner.InDoubt, func() error { return s.jobs.Submit(ctx, j) })
 }
 
 func (s *Server) cancel(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id string) {
-	s.storeWithRetry(ctx, c, id, "cancel accepted", q.Name, false, func() error { return s.jobs.Cancel(ctx, id) })
+	s.storeWithRetry(ctx, c, q, id, "cancel accepted", false, func() error { return s.jobs.Cancel(ctx, id) })
 }
 
 // storeWithRetry repeats a write until the store has answered or the caller's
-// time is over, and returns what is known of it. It refuses the request only if no try
+// time is over. It refuses the request only if no try
 // of the write, nor an earlier one that is in doubt, can have been carried out. When the
 // outcome is not known and the store refuses further tries, it answers so at once: the
 // caller can come again while it has time.
-func (s *Server) storeWithRetry(ctx context.Context, c *fasthttp.RequestCtx, id, message, queue string, inDoubt bool, write func() error) outcome {
+func (s *Server) storeWithRetry(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id, message string, inDoubt bool, write func() error) {
 	unanswered, refusals, begun := 0, 0, time.Now()
 	for {
 		err := write()
 		refused := errors.Is(err, spar.ErrRefused)
 		switch {
 		case err == nil:
-			s.Info(message, "job", id, "queue", queue, "version", s.config.Load().Rules.Version, "unsure", unanswered, "took", time.Since(begun))
+			s.Info(message, "job", id, "queue", q.Name, "version", s.config.Load().Rules.Version, "unsure", unanswered, "took", time.Since(begun))
 			s.Counter("stored").Inc(1)
-			return stored
+			return
 		case errors.Is(err, spar.ErrInvalid) && unanswered == 0 && !inDoubt:
-			s.refuseInvalid(c, id, queue, err)
-			return notSeen
+			s.refuseInvalid(c, id, q.Name, err)
+			return
 		case refused && unanswered == 0 && !inDoubt:
-			s.refuse(c, id, "store refuses", err)
-			return notSeen
+			s.refuse(c, q, id, "store refuses", err)
+			return
 		case ctx.Err() != nil || refused && refusals >= maxRefusedRepeats:
-			s.Warn("outcome unknown", "job", id, "queue", queue, "unsure", unanswered, "in_doubt", inDoubt, "refusals", refusals, "took", time.Since(begun), "err", err)
+			s.Warn("outcome unknown", "job", id, "queue", q.Name, "unsure", unanswered, "in_doubt", inDoubt, "refusals", refusals, "took", time.Since(begun), "err", err)
 			s.Counter("unknown").Inc(1)
 			c.SetStatusCode(fasthttp.StatusGatewayTimeout)
-			return doubtful
+			return
 		}
 		if refused {
 			refusals++
@@ -249,7 +265,7 @@
 	}
 }
 
-func (s *Server) replyState(ctx context.Context, c *fasthttp.RequestCtx, id string) {
+func (s *Server) replyState(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id string) {
 	var status owner.JobStatus
 	err := s.queryWithRetry(ctx, func() (err error) {
 		status, err = s.jobs.State(ctx, id)
@@ -257,7 +273,7 @@
 	})
 	switch {
 	case err != nil:
-		s.refuse(c, id, "owner away", err)
+		s.refuse(c, q, id, "owner away", err)
 	case !status.Known:
 		s.Info("job not known", "job", id)
 		c.SetStatusCode(fasthttp.StatusGone)
@@ -274,7 +290,7 @@
 		return err
 	})
 	if err != nil {
-		s.refuse(c, "", "owner away", err)
+		s.refuse(c, q, "", "owner away", err)
 		return
 	}
 	c.SetContentType("application/json")
@@ -303,9 +319,14 @@
 }
 
 // refuse answers at once that nothing was done and when to try again.
-func (s *Server) refuse(c *fasthttp.RequestCtx, id, reason string, err error) {
-	s.Info("request refused", "job", id, "method", string(c.Method()), "reason", reason, "configuration_age", time.Since(s.config.FreshAt()), "err", err)
+func (s *Server) refuse(c *fasthttp.RequestCtx, q spar.Queue, id, reason string, err error) {
+	s.refuseIn(c, id, reason, s.jobs.ReturnIn(id, q, s.patience(c)), err)
+}
+
+func (s *Server) refuseIn(c *fasthttp.RequestCtx, id, reason string, back time.Duration, err error) {
+	s.Info("request refused", "job", id, "method", string(c.Method()), "reason", reason, "return", back, "took", time.Since(c.Time()), "configuration_age", time.Since(s.config.FreshAt()), "err", err)
 	s.Counter("refused").Inc(1)
-	c.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds)
+	s.Counter("refused_" + strings.ReplaceAll(reason, " ", "_")).Inc(1)
+	c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(admit.Seconds(back)))
 	c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 }
--- a/entry/owner/candidate.go
+++ b/entry/owner/candidate.go
@@ -65,6 +65,9 @@
 	// handovers are the ends of the writers of departures; only elect's goroutine uses
 	// it.
 	handovers []<-chan error
+	// tries are the tries to hand jobs in that this entry has seen since begunAt.
+	tries   tries
+	begunAt time.Time
 	// kept are the departures that agents have reported to this entry.
 	kept keptDepartures
 
@@ -78,7 +81,7 @@
 // may be nil.
 func NewCandidate(c common.Common, s Settings, st spar.Store, ad spar.Adviser, w *config.Watcher, member string, self link.EntryRecord, agents net.Listener, clock func() time.Duration, p Peers) *Candidate {
 	store := intake.NewStore(c, st)
-	return &Candidate{peers: p, grants: grants{last: clock()}, Common: c, settings: s, store: store, jobs: intake.NewWriter(store, JobsTopic), adviser: ad, config: w, member: member, self: self, agentListener: agents, clock: clock}
+	return &Candidate{begunAt: time.Now(), peers: p, grants: grants{last: clock()}, Common: c, settings: s, store: store, jobs: intake.NewWriter(store, JobsTopic), adviser: ad, config: w, member: member, self: self, agentListener: agents, clock: clock}
 }
 
 // Run takes part in the election until the context ends. It then leaves the
--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -38,6 +38,8 @@
 	// relayedAt is when another entry last stored a record for this one, in Unix
 	// nanoseconds.
 	relayedAt atomic.Int64
+	// heard is the newest load that the owner has told.
+	heard heardLoad
 }
 
 // NewClient returns a client in the process of a candidate.
@@ -52,6 +54,8 @@
 	// Failure says why a job has failed.
 	Failure string `json:"failure,omitempty"`
 	Waiting int    `json:"waiting,omitempty"`
+	// Load is set if the query asks for it.
+	Load *loadReply `json:"load,omitempty"`
 }
 
 // JobStatus is what the owner tells about a job. A job that does not exist is not
@@ -132,6 +136,10 @@
 	if owner == nil || owner.PeerAddress == c.candidate.self.PeerAddress {
 		return reply{}, errors.Wrap(ErrUnreachable, "no other entry is known to be the owner")
 	}
+	if c.candidate.settings.Admission.isOn() {
+		path += "?" + loadParam + "=1"
+	}
+	asked := time.Now()
 	code, body, err := c.candidate.peers.Call(fasthttp.MethodGet, owner.PeerAddress, path, nil, capToDeadline(ctx, queryTimeout))
 	switch {
 	case err != nil:
@@ -140,7 +148,9 @@
 		return reply{}, errors.Wrapf(ErrUnreachable, "owner at %s answered a query with status %d", owner.PeerAddress, code)
 	}
 	var r reply
-	err = json.Unmarshal(body, &r)
+	if err = json.Unmarshal(body, &r); err == nil {
+		c.heard.set(r.Load, asked)
+	}
 	return r, errors.Wrapf(err, "decode reply of owner at %s", owner.PeerAddress)
 }
 
@@ -161,6 +171,7 @@
 		c.answerQuery(rc, func(t *term) (reply, error) { return t.stateOf(rc.UserValue("id").(string)) })
 	})
 	r.POST("/records", c.storeForPeer)
+	c.addAdmissionRoutes(r)
 	r.POST(grantsPath, c.answerGrants)
 	r.GET(departuresPath, c.answerDepartures)
 	r.GET("/queues/{name}", func(rc *fasthttp.RequestCtx) {
@@ -180,10 +191,10 @@
 		rc.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	body, err := json.Marshal(r)
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode reply"))
+	if rc.QueryArgs().Has(loadParam) {
+		if l := t.load(time.Now()); l.Services != nil {
+			r.Load = &loadReply{AgeMS: l.Age.Milliseconds(), Services: l.Services}
+		}
 	}
-	rc.SetContentType("application/json")
-	rc.SetBody(body)
+	writeReply(rc, r)
 }
--- a/entry/owner/settings.go
+++ b/entry/owner/settings.go
@@ -34,12 +34,14 @@
 	CallBytes   int `json:"call_bytes" jsonschema:"minimum=4096,maximum=67108864,description=largest append that the store accepts in bytes"`
 	// KeepMS is how long an ended job can still be queried.
 	KeepMS int64 `json:"keep_ms" jsonschema:"minimum=1000,maximum=86400000,description=time for which an ended job stays readable in ms"`
+	// Admission tells whether jobs are refused when there is too little room.
+	Admission AdmissionSettings `json:"admission" jsonschema:"description=whether jobs are refused when there is too little room"`
 }
 
 // DefaultSettings returns settings for a store that answers within a few
 // milliseconds.
 func DefaultSettings() Settings {
-	return Settings{Partitions: 1, TTLMS: 1000, JoinMS: 250, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepMS: 150_000}
+	return Settings{Partitions: 1, TTLMS: 1000, JoinMS: 250, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepMS: 150_000, Admission: DefaultAdmissionSettings()}
 }
 
 // ownerPartition is the partition whose holder is the owner.
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -49,11 +49,13 @@
 	expiry   atomic.Int64
 	failed   atomic.Bool
 	restored atomic.Bool
-	cancel   context.CancelFunc
-	ctx      context.Context
-	jobs     *track.Follower
-	wake     chan struct{}
-	ended    chan struct{}
+	// readyAt is when restored was set, in Unix nanoseconds.
+	readyAt atomic.Int64
+	cancel  context.CancelFunc
+	ctx     context.Context
+	jobs    *track.Follower
+	wake    chan struct{}
+	ended   chan struct{}
 	// stale is used by the loop alone.
 	stale staleness
 
@@ -66,6 +68,8 @@
 	appendSeq    int64
 	sessions     map[string]*session
 	sessionCount int64
+	// refusals are the jobs that were refused for want of room; stateMu guards it.
+	refusals refusals
 	// departures are the workers that have left in this term, and handledDepartures
 	// the keys of earlier ones that are to be dropped.
 	departures        departures
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -43,7 +43,21 @@
 	if err := c.candidate.settings.checkValue(r); err != nil {
 		return errors.Wrapf(err, "steps: %d", len(j.Steps))
 	}
-	return c.write(ctx, r)
+	c.candidate.tries.begin(j.ID, time.Now())
+	err := c.write(ctx, r)
+	c.candidate.tries.end(j.ID, outcomeOf(err), time.Now())
+	return err
+}
+
+// outcomeOf tells what the result of a write says about a try.
+func outcomeOf(err error) TryOutcome {
+	switch {
+	case err == nil:
+		return Stored
+	case errors.Is(err, spar.ErrRefused):
+		return NotTried
+	}
+	return InDoubt
 }
 
 // Cancel stores a cancel.
--- a/track/directory.go
+++ b/track/directory.go
@@ -18,8 +18,10 @@
 	changed chan struct{}
 
 	mu sync.Mutex
-	// entries holds the addresses of the entries by record key.
-	entries map[string]link.EntryRecord
+	// entries holds the addresses of the entries by record key, and removedAt is when the
+	// last of them was removed.
+	entries   map[string]link.EntryRecord
+	removedAt time.Time
 }
 
 // NewDirectory returns a directory whose reads wait up to wait for a new record.
@@ -36,6 +38,13 @@
 // OwnerChanged returns a channel that is signalled after each change of the owner's record.
 func (d *Directory) OwnerChanged() <-chan struct{} { return d.changed }
 
+// LastRemoval returns when an entry was last seen to remove its record; zero if none was.
+func (d *Directory) LastRemoval() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.removedAt
+}
+
 // PeerAddresses returns the addresses at which entries call each other. Some of
 // the entries may be gone.
 func (d *Directory) PeerAddresses() []string {
@@ -66,6 +75,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(r.Value) == 0 {
+		if _, known := d.entries[r.Key]; known {
+			d.removedAt = time.Now()
+		}
 		delete(d.entries, r.Key)
 		return
 	}
