--- a/shard/plan.go
+++ b/shard/plan.go
@@ -8,17 +8,7 @@
 // Plan places tasks that are ready to run and claims their runs. The claims
 // take effect once they are stored.
 func (sc *Scheduler) Plan(now time.Time) {
-	var queue []queuedStep
-	for j := range sc.activeJobs {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.unfinished > 0 && s.isReady() {
-					queue = append(queue, queuedStep{step: s, late: s.isLate(now), workLeft: s.occurrenceWorkLeft()})
-				}
-			}
-		}
-	}
-	slices.SortFunc(queue, compareSteps)
+	queue := sc.queueSteps(now)
 	pool := sc.candidates(now)
 	sc.pool, sc.poolAt, sc.plannedAt = pool, now, now
 	sc.stepsAwaitingAdvice, sc.shortages = nil, nil
@@ -32,6 +22,23 @@
 	}
 }
 
+// queueSteps returns the steps that are ready to run, in the order in which they
+// get room.
+func (sc *Scheduler) queueSteps(now time.Time) []queuedStep {
+	var queue []queuedStep
+	for j := range sc.activeJobs {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.unfinished > 0 && s.isReady() {
+					queue = append(queue, queuedStep{step: s, late: s.isLate(now), workLeft: s.occurrenceWorkLeft()})
+				}
+			}
+		}
+	}
+	slices.SortFunc(queue, compareSteps)
+	return queue
+}
+
 // queuedStep is a step that is ready to run, with the values that decide its
 // position in the queue.
 type queuedStep struct {
--- a/shard/wait_reason.go
+++ b/shard/wait_reason.go
@@ -27,12 +27,14 @@
 	withoutTicket
 	withoutRoom
 	besideSlowTasks
+	wouldDisturb
 	exclusionCount
 )
 
 var exclusionNames = [exclusionCount]string{
 	"could take it", "of another service or label", "out of touch", "not listed", "draining", "in a closed domain",
 	"avoided", "kept for a trial", "with too many of its step", "without a ticket", "without room", "beside slow tasks",
+	"with serving tasks that it would disturb",
 }
 
 // waitReason describes what keeps a task from running: what holds the task itself, how
@@ -150,6 +152,8 @@
 		return withoutRoom
 	case !sc.canRun(c, t, now):
 		return besideSlowTasks
+	case s.Fills && sc.startPace(c, s, sc.minPace(s, now)) == 0:
+		return wouldDisturb
 	}
 	return notExcluded
 }
