--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -63,6 +63,8 @@
 	runTime       time.Duration
 	// keepMS is how long an ended job can still be queried, 0 for the default.
 	keepMS int64
+	// admission is set when jobs are refused that can't meet their objective.
+	admission bool
 }
 
 // job is a submitted job. cancelledAt is zero until its cancel was accepted.
@@ -207,6 +209,10 @@
 	out := owner.DefaultSettings()
 	out.Partitions = store.Partitions
 	out.KeepMS = cmp.Or(s.keepMS, out.KeepMS)
+	if s.admission {
+		// The narrowest limits refuse the most.
+		out.Admission.Mode, out.Admission.Margin, out.Admission.WorthlessAfter = "on", 1, 1
+	}
 	return out
 }
 
