--- a/admit/load.go
+++ b/admit/load.go
@@ -20,12 +20,13 @@
 type Backlog struct {
 	// DrainMilli is the rate, in thousandths of a processor. 0 is not known.
 	DrainMilli int64 `json:"drain_milli,omitempty"`
-	// Waiting is the work by priority.
+	// Waiting is the work by queue.
 	Waiting []Waiting `json:"waiting,omitempty"`
 }
 
-// Waiting is the work of one priority that has not started.
+// Waiting is the work of one queue that has not started.
 type Waiting struct {
+	Queue string `json:"queue,omitempty"`
 	// Priority 0 is the highest.
 	Priority int `json:"priority,omitempty"`
 	// Work is the time that it takes on one processor, by its estimates, and Late that of
--- a/entry/owner/admission.go
+++ b/entry/owner/admission.go
@@ -204,6 +204,15 @@
 // addAdmissionRoutes adds the routes that other entries call.
 func (c *Candidate) addAdmissionRoutes(r *router.Router) {
 	r.GET(triesPath+"{id}", func(rc *fasthttp.RequestCtx) { writeReply(rc, c.triesOf(rc.UserValue("id").(string))) })
+	r.GET("/load", func(rc *fasthttp.RequestCtx) {
+		t := c.servingTerm()
+		if t == nil {
+			rc.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		l := t.load(time.Now())
+		writeReply(rc, loadReply{AgeMS: l.Age.Milliseconds(), Services: l.Services})
+	})
 	r.POST(admissionPath, func(rc *fasthttp.RequestCtx) {
 		var q admit.Request
 		t := c.servingTerm()
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -56,8 +56,9 @@
 	jobs    *track.Follower
 	wake    chan struct{}
 	ended   chan struct{}
-	// stale is used by the loop alone.
-	stale staleness
+	// stale and backlog are used by the loop alone.
+	stale   staleness
+	backlog backlogReport
 
 	scheduler *shard.Scheduler
 	// stateMu guards scheduler, sessions, sessionCount and departures.
@@ -141,6 +142,7 @@
 	}
 	following, dropping, settling, collecting := t.jobs.Run(ctx), t.dropExpired(ctx), t.settlePredecessors(ctx), t.collectDepartures(ctx, t.entries)
 	t.loop(ctx)
+	t.clearBacklog()
 	if err := <-following; err != nil {
 		t.Warn("following the jobs topic failed", "err", err)
 	}
--- a/shard/load.go
+++ b/shard/load.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -15,7 +17,7 @@
 // serviceLoad is the load of a service while it is summed up.
 type serviceLoad struct {
 	reservedDrain, fillingDrain int64
-	reserved, filling           map[int]*admit.Waiting
+	reserved, filling           map[string]*admit.Waiting
 }
 
 // Load returns what waits for the workers of each service and how fast they can do it.
@@ -31,7 +33,7 @@
 	sums := map[string]*serviceLoad{}
 	of := func(service string) *serviceLoad {
 		if sums[service] == nil {
-			sums[service] = &serviceLoad{reserved: map[int]*admit.Waiting{}, filling: map[int]*admit.Waiting{}}
+			sums[service] = &serviceLoad{reserved: map[string]*admit.Waiting{}, filling: map[string]*admit.Waiting{}}
 		}
 		return sums[service]
 	}
@@ -92,15 +94,14 @@
 	if tasks == 0 {
 		return
 	}
-	byPriority := l.reserved
+	byQueue := l.reserved
 	if s.Fills {
-		byPriority = l.filling
+		byQueue = l.filling
 	}
-	priority := s.job.policy.Priority
-	w := byPriority[priority]
+	w := byQueue[s.job.Queue]
 	if w == nil {
-		w = &admit.Waiting{Priority: priority}
-		byPriority[priority] = w
+		w = &admit.Waiting{Queue: s.job.Queue, Priority: s.job.policy.Priority}
+		byQueue[s.job.Queue] = w
 	}
 	work := time.Duration(tasks) * s.Estimate * time.Duration(max(s.Size.CPUMilli, 1)) / 1000
 	if s.isLate(now) {
@@ -112,12 +113,12 @@
 	w.Oldest = max(w.Oldest, now.Sub(s.occurrence.due))
 }
 
-func backlog(drain int64, byPriority map[int]*admit.Waiting) admit.Backlog {
+func backlog(drain int64, byQueue map[string]*admit.Waiting) admit.Backlog {
 	b := admit.Backlog{DrainMilli: drain}
-	for _, w := range byPriority {
+	for _, w := range byQueue {
 		b.Waiting = append(b.Waiting, *w)
 	}
-	slices.SortFunc(b.Waiting, func(a, c admit.Waiting) int { return a.Priority - c.Priority })
+	slices.SortFunc(b.Waiting, func(a, c admit.Waiting) int { return cmp.Or(a.Priority-c.Priority, strings.Compare(a.Queue, c.Queue)) })
 	return b
 }
 
