Shard: the order of triage, as the setting owner.order

With value, steps get room by prospect and worth for the work left, on run times learnt from what has ended. The default, least-work, is the order as before.

--- a/entry/owner/settings.go
+++ b/entry/owner/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/triage"
 	"github.com/cockroachdb/errors"
 )
 
@@ -34,12 +35,14 @@
 	CallBytes   int `json:"call_bytes" jsonschema:"minimum=4096,maximum=67108864,description=largest append that the store accepts in bytes"`
 	// KeepMS is how long an ended job can still be queried.
 	KeepMS int64 `json:"keep_ms" jsonschema:"minimum=1000,maximum=86400000,description=time for which an ended job stays readable in ms"`
+	// Order decides which jobs get room first where there is too little for all.
+	Order triage.Policy `json:"order" jsonschema:"enum=least-work,enum=value,description=order in which jobs get room where there is too little"`
 }
 
 // DefaultSettings returns settings for a store that answers within a few
 // milliseconds.
 func DefaultSettings() Settings {
-	return Settings{Partitions: 1, TTLMS: 1000, JoinMS: 250, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepMS: 150_000}
+	return Settings{Partitions: 1, TTLMS: 1000, JoinMS: 250, LeaseMS: 5000, MaxLeaseMS: 10_000, GraceMS: 5000, RecordBytes: 256 << 10, CallBytes: 2 << 20, KeepMS: 150_000, Order: triage.LeastWork}
 }
 
 // ownerPartition is the partition whose holder is the owner.
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -77,7 +77,7 @@
 
 func newTerm(c *Candidate, epoch int64, until time.Duration) *term {
 	t := &term{Candidate: c, epoch: epoch, wake: make(chan struct{}, 1), ended: make(chan struct{}), sessions: map[string]*session{}}
-	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep(), RecordBytes: c.settings.valueBytes()}, t.logEvent)
+	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep(), RecordBytes: c.settings.valueBytes(), Order: c.settings.Order}, t.logEvent)
 	t.jobs = &track.Follower{
 		Store: c.store, Topic: JobsTopic, Wait: jobsReadWait, OnSnapshot: t.applyJobRecords, OnRecords: t.applyJobRecords,
 		OnError: func(err error) { t.Warn("could not read the jobs topic", "err", err) },
@@ -88,7 +88,11 @@
 
 // logEvent logs and counts a decision of the shard.
 func (t *term) logEvent(e shard.Event) {
-	t.Counter("decisions_" + strings.ReplaceAll(e.Name, " ", "_")).Inc(1)
+	name := "decisions_" + strings.ReplaceAll(e.Name, " ", "_")
+	t.Counter(name).Inc(1)
+	if e.Queue != "" {
+		t.Counter(name + "_in_" + e.Queue).Inc(1)
+	}
 	t.Info(e.Name, "task", e.Task, "run", e.Run, "node", e.Node, "reason", e.Reason, "epoch", t.epoch)
 }
 
--- a/shard/event.go
+++ b/shard/event.go
@@ -8,4 +8,6 @@
 	Run    int64
 	Node   string
 	Reason string
+	// Queue is set if the event is also counted by queue.
+	Queue string
 }
--- a/shard/fleet_harness_test.go
+++ b/shard/fleet_harness_test.go
@@ -17,8 +17,11 @@
 	taskTime = 300 * time.Millisecond
 )
 
-// time returns how long the run lasts. Those of hopeless jobs do not end together.
-func (r fleetRun) time() time.Duration {
+// timeOf returns how long a run lasts. Those of hopeless jobs do not end together.
+func (f *fleet) timeOf(r fleetRun) time.Duration {
+	if d := f.times[r.task.Job]; d > 0 {
+		return d
+	}
 	if r.isHopeless() {
 		return taskTime + time.Duration(r.task.Index%20)*200*time.Millisecond
 	}
@@ -33,6 +36,8 @@
 type fleet struct {
 	*harness
 	nodes []*fleetNode
+	// times holds how long the tasks of a job run, if not taskTime.
+	times map[string]time.Duration
 }
 
 type fleetNode struct {
@@ -95,8 +100,12 @@
 func (f *fleet) list(n *fleetNode, complete bool) {
 	n.listedAt = f.now
 	m := &link.AgentMessage{Heartbeat: 1, Complete: complete, Ended: n.ended}
-	for r := range n.runs {
-		m.Running = append(m.Running, spar.Running{Task: r.task, Run: r.run, Percent: 100})
+	for r, at := range n.runs {
+		percent := 100
+		if d := f.times[r.task.Job]; d > 0 {
+			percent = int(100 * f.now.Sub(at) / d)
+		}
+		m.Running = append(m.Running, spar.Running{Task: r.task, Run: r.run, Percent: percent})
 	}
 	f.report(n.name, m)
 	f.scheduler.GrantLease(n.name, f.tokens[n.name], f.now)
@@ -135,7 +144,7 @@
 // endTasks ends the tasks of a worker that are done, and lists its runs when it is time.
 func (f *fleet) endTasks(n *fleetNode) {
 	for r, at := range n.runs {
-		if r.standing || f.now.Sub(at) < r.time() {
+		if r.standing || f.now.Sub(at) < f.timeOf(r) {
 			continue
 		}
 		ending := spar.EndDone
--- a/shard/job.go
+++ b/shard/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/triage"
 )
 
 // State is the state of a job.
@@ -54,8 +55,14 @@
 	number int
 	steps  []*step
 	due    time.Time
-	// criticalPath is the longest path through the steps, by their estimates.
+	// criticalPath is the longest path through the steps, by their estimates or
+	// by forecast.
 	criticalPath time.Duration
+	forecast     forecast
+	// rank is the place among the occurrences of the last Plan, and reported the
+	// worst prospect that was reported.
+	rank     int
+	reported triage.Prospect
 }
 
 // step is a step of an occurrence.
@@ -69,6 +76,9 @@
 	unfinished int
 	// advice is used in queues that require an adviser.
 	advice advice
+	// taskTime is the likely run time of a task; see stepTime.
+	taskTime time.Duration
+	ended    runTimeSum
 }
 
 type task struct {
@@ -117,6 +127,10 @@
 	percent int
 	// idle is the time at work since percent last changed; see countIdleTime.
 	idle time.Duration
+	// worked is the time at work at full pace up to the worker's last list.
+	worked time.Duration
+	// resumed is set if the run began from a checkpoint.
+	resumed bool
 	// measured is the latest reported figure: the tail latency in ms of a
 	// serving task, the CPU use in thousandths of a processor of any other.
 	measured int64
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -1,34 +1,66 @@
 package shard
 
 import (
+	"iter"
 	"slices"
 	"time"
+
+	"github.com/berylspar/spar/triage"
 )
 
 // Plan places tasks that are ready to run and claims their runs. The claims
 // take effect once they are stored.
 func (sc *Scheduler) Plan(now time.Time) {
-	var queue []queuedStep
-	for j := range sc.activeJobs {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.unfinished > 0 && s.isReady() {
-					queue = append(queue, queuedStep{step: s, late: s.isLate(now), workLeft: s.occurrenceWorkLeft()})
-				}
-			}
-		}
-	}
-	slices.SortFunc(queue, compareSteps)
+	queue := sc.queueSteps(now)
 	pool := sc.candidates(now)
 	sc.pool, sc.poolAt, sc.plannedAt = pool, now, now
 	sc.stepsAwaitingAdvice, sc.shortages = nil, nil
 	sc.clearSurvivors()
 	sc.trials = sc.freeTrialSlots(now)
 	sc.startLimit = sc.countStarts(now)
+	short := map[triage.Pool]bool{}
 	for _, q := range queue {
-		if !sc.placeStep(q.step, pool, now) && q.job.policy.Advised {
+		if sc.placeStep(q.step, pool, now) {
+			continue
+		}
+		if q.job.policy.Advised {
 			sc.stepsAwaitingAdvice = append(sc.stepsAwaitingAdvice, q.step)
 		}
+		if !q.Standing && !sc.startLimit.full() {
+			short[q.pool()] = true
+		}
+	}
+	if sc.limits.Order.LearnsRunTimes() {
+		sc.observeRoom(short, now)
+	}
+}
+
+// queueSteps returns the steps that are ready to run, in the order in which they
+// get room.
+func (sc *Scheduler) queueSteps(now time.Time) []queuedStep {
+	if sc.limits.Order.LearnsRunTimes() {
+		return sc.rankSteps(now)
+	}
+	var queue []queuedStep
+	for s := range sc.readySteps() {
+		queue = append(queue, queuedStep{step: s, late: s.isLate(now), workLeft: s.occurrenceWorkLeft()})
+	}
+	slices.SortFunc(queue, compareSteps)
+	return queue
+}
+
+// readySteps iterates over the steps whose tasks may run.
+func (sc *Scheduler) readySteps() iter.Seq[*step] {
+	return func(yield func(*step) bool) {
+		for j := range sc.activeJobs {
+			for _, o := range j.occurrences {
+				for _, s := range o.steps {
+					if s.unfinished > 0 && s.isReady() && !yield(s) {
+						return
+					}
+				}
+			}
+		}
 	}
 }
 
@@ -181,7 +213,7 @@
 
 // claimRun assigns a new run of a task to a worker.
 func (sc *Scheduler) claimRun(t *task, p placement, number int64, now time.Time) {
-	r := &run{task: t, worker: p.worker, number: number, token: p.token, pace: p.pace, started: now}
+	r := &run{task: t, worker: p.worker, number: number, token: p.token, pace: p.pace, started: now, resumed: t.checkpoint != ""}
 	t.lastRun = number
 	t.runs = append(t.runs, r)
 	p.addRun(r)
--- a/shard/run_end.go
+++ b/shard/run_end.go
@@ -29,6 +29,9 @@
 	stopping := r != nil && r.stopping
 	if r != nil {
 		sc.confirmRun(r, now)
+		if e.Ending == spar.EndDone {
+			sc.learnRunTime(r, now)
+		}
 		sc.removeRun(r)
 	}
 	sc.markTaskChanged(t)
@@ -82,6 +85,7 @@
 		}
 		t.done = true
 		t.step.unfinished--
+		t.step.occurrence.forecast.at = time.Time{}
 		sc.markTaskChanged(t)
 		for _, r := range t.runs {
 			sc.stopRun(r)
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -6,6 +6,7 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/interf"
+	"github.com/berylspar/spar/triage"
 	"github.com/cockroachdb/errors"
 )
 
@@ -21,6 +22,8 @@
 	// RecordBytes is the largest value of a record that the store accepts, or 0 for
 	// defaultRecordBytes.
 	RecordBytes int
+	// Order decides which jobs get room first.
+	Order triage.Policy
 }
 
 func (l Limits) recordBytes() int { return cmp.Or(l.RecordBytes, defaultRecordBytes) }
@@ -79,6 +82,10 @@
 	storedModel    []byte
 	modelCheckedAt time.Time
 	waits          waits
+	// runTimes are the run times that were learnt, by queue.
+	runTimes map[string]*triage.RunTimes
+	// poolRooms are the rooms that were observed.
+	poolRooms map[triage.Pool]poolRoom
 	// now is the time of the latest Tick or HandleReport call, and wall the time of day
 	// at the latest Tick.
 	now, wall time.Time
@@ -91,7 +98,7 @@
 	return &Scheduler{
 		limits: l, queues: map[string]spar.Queue{}, closedDomains: map[string]bool{},
 		jobs: map[string]*job{}, activeJobs: map[*job]bool{}, earlyCancels: map[string]time.Time{},
-		workers: map[string]*worker{}, lifeEnds: map[string]int64{}, grantedLives: map[string]grantedLife{}, suspects: map[*task]bool{}, changedJobs: map[*job]bool{},
+		runTimes: map[string]*triage.RunTimes{}, poolRooms: map[triage.Pool]poolRoom{}, workers: map[string]*worker{}, lifeEnds: map[string]int64{}, grantedLives: map[string]grantedLife{}, suspects: map[*task]bool{}, changedJobs: map[*job]bool{},
 		pendingStops: map[*run]bool{}, pendingPaces: map[*run]bool{}, pendingAcks: map[*worker]int64{}, onEvent: onEvent,
 	}
 }
--- a/shard/stall.go
+++ b/shard/stall.go
@@ -21,10 +21,11 @@
 // runs have shown no progress, by their paces.
 func (w *worker) countIdleTime(now time.Time) {
 	elapsed := min(now.Sub(w.listedAt), maxListInterval)
-	w.listedAt = now
 	for r := range w.runs {
 		r.idle += elapsed * time.Duration(r.pace) / 100
+		r.worked += r.workedSinceList(now)
 	}
+	w.listedAt = now
 }
 
 // stopStalledRuns stops runs without progress, so that their tasks restart on
--- a/triage/example_test.go
+++ b/triage/example_test.go
@@ -14,7 +14,7 @@
 		{ID: "small", Due: 2 * time.Second, Last: 6 * time.Second, Path: time.Second, Work: 2 * time.Second, Worth: 3},
 		{ID: "too long", Due: 2 * time.Second, Last: 6 * time.Second, Path: 3 * time.Second, Work: 3 * time.Second, Worth: 4},
 	}
-	for _, r := range triage.Order(jobs, triage.Room{"": 4}) {
+	for _, r := range triage.Order(jobs, triage.Room{triage.Pool{}: 4}) {
 		fmt.Println(jobs[r.Index].ID, "is", r.Prospect)
 	}
 	// Output:
--- a/triage/job.go
+++ b/triage/job.go
@@ -6,8 +6,8 @@
 type Job struct {
 	// Priority is that of the job's queue; the lowest goes first.
 	Priority int
-	// Pool names the room that the job draws on.
-	Pool string
+	// Pool is the room that the job draws on.
+	Pool Pool
 	// Due is the time to the job's objective, and Last the time from which its
 	// completion is worth nothing to its caller; negative once they have passed.
 	Due, Last time.Duration
@@ -26,6 +26,13 @@
 	ID  string
 }
 
+// Pool is a room that jobs share: what is not reserved on a service's workers, or
+// what its serving tasks leave of their reservations, which others fill.
+type Pool struct {
+	Service string
+	Fills   bool
+}
+
 // Prospect is what a caller can still gain from a job.
 type Prospect int
 
--- a/triage/order.go
+++ b/triage/order.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// Room is the number of processors that a pool gives to jobs, by the pool's name.
-// A pool that is missing is taken to have room for all.
-type Room map[string]float64
+// Room is the number of processors that a pool gives to jobs. A pool that is missing
+// is taken to have room for all.
+type Room map[Pool]float64
 
 // Rank is a job's place in the order.
 type Rank struct {
@@ -80,7 +80,10 @@
 // the job that is worth least for its work is set back. Priorities that go first
 // take their room first.
 func setBack(jobs []Job, ranks []Rank, room Room) {
-	byPool := map[string][]int{}
+	if len(room) == 0 {
+		return
+	}
+	byPool := map[Pool][]int{}
 	for i := range jobs {
 		if _, limited := room[jobs[i].Pool]; limited && ranks[i].Prospect == InTime {
 			byPool[jobs[i].Pool] = append(byPool[jobs[i].Pool], i)
--- a/triage/order_test.go
+++ b/triage/order_test.go
@@ -9,16 +9,21 @@
 	"github.com/berylspar/spar/triage"
 )
 
+var (
+	p = triage.Pool{Service: "desk"}
+	q = triage.Pool{Service: "desk", Fills: true}
+)
+
 // fresh is a job of which nothing has run: n tasks at once, on one processor each.
 func fresh(id string, n int, task, due time.Duration) triage.Job {
 	work := time.Duration(n) * task
-	return triage.Job{ID: id, Pool: "p", Due: due, Last: 3 * due, Path: task, Work: work, Worth: 10 + work.Seconds()}
+	return triage.Job{ID: id, Pool: p, Due: due, Last: 3 * due, Path: task, Work: work, Worth: 10 + work.Seconds()}
 }
 
-func (c change) apply(j triage.Job) triage.Job { c(&j); return j }
-
 type change func(*triage.Job)
 
+func (c change) apply(j triage.Job) triage.Job { c(&j); return j }
+
 func order(jobs []triage.Job, room triage.Room) (out []string) {
 	for _, r := range triage.Order(jobs, room) {
 		out = append(out, jobs[r.Index].ID)
@@ -29,7 +34,7 @@
 func TestOrderByLoadPattern(t *testing.T) {
 	const s = time.Second
 	half := change(func(j *triage.Job) { j.Work /= 2 })
-	room := func(cores float64) triage.Room { return triage.Room{"p": cores} }
+	room := func(cores float64) triage.Room { return triage.Room{p: cores} }
 	for _, c := range []struct {
 		pattern string
 		jobs    []triage.Job
--- a/triage/policy.go
+++ b/triage/policy.go
@@ -1,7 +1,5 @@
 package triage
 
-import "github.com/cockroachdb/errors"
-
 // Policy names an order. The zero value is LeastWork.
 type Policy string
 
@@ -14,14 +12,5 @@
 	Value Policy = "value"
 )
 
-// Check returns an error if the policy is unknown.
-func (p Policy) Check() error {
-	switch p {
-	case "", LeastWork, Value:
-		return nil
-	}
-	return errors.Newf("order: %q is neither %q nor %q", string(p), string(LeastWork), string(Value))
-}
-
 // LearnsRunTimes reports whether the policy corrects estimates.
 func (p Policy) LearnsRunTimes() bool { return p == Value }
--- a/triage/property_test.go
+++ b/triage/property_test.go
@@ -17,7 +17,7 @@
 	for i := range jobs {
 		due := duration(-60_000, "due")
 		jobs[i] = triage.Job{
-			ID: string(rune('A' + i)), Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Pool: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "pool"),
+			ID: string(rune('A' + i)), Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Pool: rapid.SampledFrom([]triage.Pool{p, q}).Draw(t, "pool"),
 			Due: due, Last: due + duration(0, "last"), Path: duration(0, "path"), Work: duration(0, "work"),
 			Worth: rapid.Float64Range(-1, 100).Draw(t, "worth"), Waited: duration(0, "waited"), Age: duration(0, "age"),
 		}
@@ -26,10 +26,11 @@
 }
 
 func drawRoom(t *rapid.T) triage.Room {
-	return triage.Room{"p": rapid.Float64Range(0, 50).Draw(t, "room"), "q": rapid.Float64Range(0, 50).Draw(t, "room")}
+	return triage.Room{p: rapid.Float64Range(0, 50).Draw(t, "room"), q: rapid.Float64Range(0, 50).Draw(t, "room")}
 }
 
 func check(t *testing.T, f func(t *rapid.T, jobs []triage.Job, room triage.Room)) {
+	t.Helper()
 	rapid.Check(t, func(t *rapid.T) { f(t, drawJobs(t), drawRoom(t)) })
 }
 
@@ -46,11 +47,11 @@
 	check(t, func(t *rapid.T, jobs []triage.Job, room triage.Room) {
 		last := 0
 		for _, r := range triage.Order(jobs, room) {
-			if p := jobs[r.Index].Priority; p < last {
-				t.Fatalf("job of priority %d after one of %d", p, last)
-			} else {
-				last = p
+			priority := jobs[r.Index].Priority
+			if priority < last {
+				t.Fatalf("job of priority %d after one of %d", priority, last)
 			}
+			last = priority
 		}
 	})
 }
