--- a/shard/copy.go
+++ b/shard/copy.go
@@ -38,7 +38,7 @@
 	out.changedJobs, out.pendingStops, out.pendingPaces, out.pendingAcks = map[*job]bool{}, map[*run]bool{}, map[*run]bool{}, map[*worker]int64{}
 	out.retiredJobs, out.claimedRuns, out.droppedKeys, out.expiredCancels = nil, nil, nil, nil
 	out.stepsAwaitingAdvice, out.shortages, out.pool, out.waits = nil, nil, nil, waits{}
-	out.earlyCancels = maps.Clone(sc.earlyCancels)
+	out.earlyCancels, out.runTimes, out.poolRooms = maps.Clone(sc.earlyCancels), maps.Clone(sc.runTimes), maps.Clone(sc.poolRooms)
 	return &out
 }
 
