Beryl: job where tells where a job would go now, and why, without sending it

The owner answers from a planning pass over a copy of its state, at most twice a second and not while its passes take long; any entry can be asked. A job is named by its queue or by the host and path of its request, an accepted one by its ID. No store call, no look at a worker.

--- a/entry/batch/daemon.go
+++ b/entry/batch/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/berylspar/spar/platform"
 	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
+	"github.com/fasthttp/router"
 	"go.uber.org/dig"
 )
 
@@ -146,7 +147,10 @@
 	d.Info("entry starts", "name", p.Settings.Name, "domain", p.Settings.Domain, "listen", p.Settings.Listen)
 	// A process that takes part in the election holds its admin address: when another
 	// one listens there, this one is over and grants no more leases.
-	metrics, err := common.ServeAdmin(serveCtx, p.Settings.Admin, p.Base, p.Candidate.AddRoutes)
+	metrics, err := common.ServeAdmin(serveCtx, p.Settings.Admin, p.Base, func(r *router.Router) {
+		p.Candidate.AddRoutes(r)
+		p.Server.AddRoutes(serveCtx, r)
+	})
 	if err != nil {
 		return err
 	}
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -52,6 +52,8 @@
 	// ReturnIn returns when a caller should come back that was refused for another
 	// reason.
 	ReturnIn(id string, q spar.Queue, patience time.Duration) time.Duration
+	// Explain tells what the owner would do with a job, without any effect.
+	Explain(ctx context.Context, j spar.Job) (owner.Explanation, error)
 	// IsCutOffAlone reports whether the store does not answer this entry while
 	// it answers another one.
 	IsCutOffAlone() bool
--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -172,6 +172,7 @@
 	})
 	r.POST("/records", c.storeForPeer)
 	c.addAdmissionRoutes(r)
+	r.POST(explainPath, c.answerExplanation)
 	r.POST(grantsPath, c.answerGrants)
 	r.GET(departuresPath, c.answerDepartures)
 	r.GET("/queues/{name}", func(rc *fasthttp.RequestCtx) {
--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -71,6 +71,7 @@
 			t.departures.prepared()
 		}
 	}
+	t.passTime.Store(int64(time.Since(now)))
 	t.stateMu.Unlock()
 	for _, q := range requests {
 		go t.requestAdvice(t.ctx, q)
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -51,11 +51,14 @@
 	restored atomic.Bool
 	// readyAt is when restored was set, in Unix nanoseconds.
 	readyAt atomic.Int64
-	cancel  context.CancelFunc
-	ctx     context.Context
-	jobs    *track.Follower
-	wake    chan struct{}
-	ended   chan struct{}
+	// explainedAt is when the last explanation began, in Unix nanoseconds, and passTime
+	// how long the last planning pass took, in nanoseconds.
+	explainedAt, passTime atomic.Int64
+	cancel                context.CancelFunc
+	ctx                   context.Context
+	jobs                  *track.Follower
+	wake                  chan struct{}
+	ended                 chan struct{}
 	// stale and backlog are used by the loop alone.
 	stale   staleness
 	backlog backlogReport
--- a/shard/explain.go
+++ b/shard/explain.go
@@ -17,9 +17,11 @@
 	Queue string `json:"queue"`
 	State State  `json:"state"`
 	// Priority is that of the queue. Objective is the time in which the job should
-	// complete, by its estimates, and Age the time since it arrived.
+	// complete, Path its longest chain of steps, both by its estimates or by what was
+	// learnt, and Age the time since it arrived.
 	Priority  int           `json:"priority"`
 	Objective time.Duration `json:"objective_ns"`
+	Path      time.Duration `json:"path_ns"`
 	Age       time.Duration `json:"age_ns"`
 	// JobsAhead are the jobs with ready steps that get room first, and WorkAhead their
 	// work left, as time on one processor by its estimates.
@@ -71,6 +73,7 @@
 	out.countAhead(trial.queueSteps(now), j)
 	trial.Plan(now)
 	for _, o := range j.occurrences {
+		out.Path = o.criticalPath
 		out.Objective = time.Duration(j.policy.Stretch*float64(o.criticalPath)) + j.policy.Slack
 		for _, st := range o.steps {
 			out.Steps = append(out.Steps, trial.explainStep(st, now))
--- a/shard/explain_test.go
+++ b/shard/explain_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/shard"
+	"github.com/berylspar/spar/triage"
 )
 
 // An explanation that has rules of its own would tell something else than the scheduler
@@ -19,6 +20,9 @@
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 7))
 			f := newFleet(t, 3+random.IntN(5))
+			if seed%2 == 1 {
+				f.setOrder(triage.Value)
+			}
 			f.submit("last1", "watches", spar.Step{Count: 4, Standing: true, Size: spar.Size{CPUMilli: 4000, MemoryMB: 4000}, Image: "web", TailTarget: 18 * time.Millisecond})
 			for n := range 60 {
 				if node := f.nodes[random.IntN(len(f.nodes))]; random.IntN(12) == 0 && node.up {
--- a/shard/fleet_harness_test.go
+++ b/shard/fleet_harness_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/link"
+	"github.com/berylspar/spar/shard"
+	"github.com/berylspar/spar/triage"
 )
 
 const (
@@ -67,6 +69,17 @@
 	return f
 }
 
+// setOrder replaces the scheduler by an empty one with another order of jobs.
+func (f *fleet) setOrder(order triage.Policy) {
+	l := limits
+	l.Order = order
+	f.scheduler = shard.NewScheduler(l, f.recordEvent)
+	f.setRules()
+	for _, n := range f.nodes {
+		f.open(n)
+	}
+}
+
 // add adds a worker.
 func (f *fleet) add() {
 	n := &fleetNode{name: fmt.Sprintf("n%02d", len(f.nodes)), size: spar.Size{CPUMilli: 16000, MemoryMB: 64000}}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -64,23 +64,6 @@
 	}
 }
 
-// queueSteps returns the steps that are ready to run, in the order in which they
-// get room.
-func (sc *Scheduler) queueSteps(now time.Time) []queuedStep {
-	var queue []queuedStep
-	for j := range sc.activeJobs {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.unfinished > 0 && s.isReady() {
-					queue = append(queue, queuedStep{step: s, late: s.isLate(now), workLeft: s.occurrenceWorkLeft()})
-				}
-			}
-		}
-	}
-	slices.SortFunc(queue, compareSteps)
-	return queue
-}
-
 // queuedStep is a step that is ready to run, with the values that decide its
 // position in the queue.
 type queuedStep struct {
