--- a/entry/jobapi/where.go
+++ b/entry/jobapi/where.go
@@ -97,7 +97,11 @@
 func (s *Server) explain(ctx context.Context, c *fasthttp.RequestCtx, j spar.Job, q *spar.Queue) {
 	ctx, cancel := context.WithTimeout(ctx, whereTimeout)
 	defer cancel()
-	e, err := s.jobs.Explain(ctx, j)
+	var e owner.Explanation
+	err := s.queryWithRetry(ctx, func() (err error) {
+		e, err = s.jobs.Explain(ctx, j)
+		return err
+	})
 	switch {
 	case errors.Is(err, owner.ErrBusy):
 		c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(whereRetryAfter))
--- a/entry/owner/explain.go
+++ b/entry/owner/explain.go
@@ -76,9 +76,6 @@
 // explain tells what this owner would do with a job. It changes nothing.
 func (t *term) explain(j spar.Job) (Explanation, error) {
 	now := time.Now()
-	if !t.mayExplain(now) {
-		return Explanation{}, ErrBusy
-	}
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
 	state, known := t.scheduler.JobState(j.ID)
@@ -93,6 +90,9 @@
 	if !known && len(j.Steps) == 0 {
 		return out, nil
 	}
+	if !t.mayExplain(now) {
+		return out, ErrBusy
+	}
 	out.IsAdmissionOn = t.settings.Admission.isOn()
 	load := t.loadLocked(now)
 	q := admit.NewRequest(&j, shard.ShortestPath(j.Steps))
