--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -49,13 +49,19 @@
 	expiry   atomic.Int64
 	failed   atomic.Bool
 	restored atomic.Bool
-	cancel   context.CancelFunc
-	ctx      context.Context
-	jobs     *track.Follower
-	wake     chan struct{}
-	ended    chan struct{}
-	// stale is used by the loop alone.
-	stale staleness
+	// readyAt is when restored was set, in Unix nanoseconds.
+	readyAt atomic.Int64
+	// explainedAt is when the last explanation began, in Unix nanoseconds, and passTime
+	// how long the last planning pass took, in nanoseconds.
+	explainedAt, passTime atomic.Int64
+	cancel                context.CancelFunc
+	ctx                   context.Context
+	jobs                  *track.Follower
+	wake                  chan struct{}
+	ended                 chan struct{}
+	// stale and backlog are used by the loop alone.
+	stale   staleness
+	backlog backlogReport
 
 	scheduler *shard.Scheduler
 	// stateMu guards scheduler, sessions, sessionCount and departures.
@@ -66,6 +72,8 @@
 	appendSeq    int64
 	sessions     map[string]*session
 	sessionCount int64
+	// refusals are the jobs that were refused for want of room; stateMu guards it.
+	refusals refusals
 	// departures are the workers that have left in this term, and handledDepartures
 	// the keys of earlier ones that are to be dropped.
 	departures        departures
@@ -77,7 +85,7 @@
 
 func newTerm(c *Candidate, epoch int64, until time.Duration) *term {
 	t := &term{Candidate: c, epoch: epoch, wake: make(chan struct{}, 1), ended: make(chan struct{}), sessions: map[string]*session{}}
-	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep(), RecordBytes: c.settings.valueBytes()}, t.logEvent)
+	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep(), RecordBytes: c.settings.valueBytes(), Order: c.settings.Order}, t.logEvent)
 	t.jobs = &track.Follower{
 		Store: c.store, Topic: JobsTopic, Wait: jobsReadWait, OnSnapshot: t.applyJobRecords, OnRecords: t.applyJobRecords,
 		OnError: func(err error) { t.Warn("could not read the jobs topic", "err", err) },
@@ -88,7 +96,11 @@
 
 // logEvent logs and counts a decision of the shard.
 func (t *term) logEvent(e shard.Event) {
-	t.Counter("decisions_" + strings.ReplaceAll(e.Name, " ", "_")).Inc(1)
+	name := "decisions_" + strings.ReplaceAll(e.Name, " ", "_")
+	t.Counter(name).Inc(1)
+	if e.Queue != "" {
+		t.Counter(name + "_in_" + e.Queue).Inc(1)
+	}
 	t.Info(e.Name, "task", e.Task, "run", e.Run, "node", e.Node, "reason", e.Reason, "epoch", t.epoch)
 }
 
@@ -137,6 +149,7 @@
 	}
 	following, dropping, settling, collecting := t.jobs.Run(ctx), t.dropExpired(ctx), t.settlePredecessors(ctx), t.collectDepartures(ctx, t.entries)
 	t.loop(ctx)
+	t.clearBacklog()
 	if err := <-following; err != nil {
 		t.Warn("following the jobs topic failed", "err", err)
 	}
--- a/shard/fleet_harness_test.go
+++ b/shard/fleet_harness_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/link"
+	"github.com/berylspar/spar/shard"
+	"github.com/berylspar/spar/triage"
 )
 
 const (
@@ -17,8 +19,11 @@
 	taskTime = 300 * time.Millisecond
 )
 
-// time returns how long the run lasts. Those of hopeless jobs do not end together.
-func (r fleetRun) time() time.Duration {
+// timeOf returns how long a run lasts. Those of hopeless jobs do not end together.
+func (f *fleet) timeOf(r fleetRun) time.Duration {
+	if d := f.times[r.task.Job]; d > 0 {
+		return d
+	}
 	if r.isHopeless() {
 		return taskTime + time.Duration(r.task.Index%20)*200*time.Millisecond
 	}
@@ -33,6 +38,8 @@
 type fleet struct {
 	*harness
 	nodes []*fleetNode
+	// times holds how long the tasks of a job run, if not taskTime.
+	times map[string]time.Duration
 }
 
 type fleetNode struct {
@@ -62,6 +69,17 @@
 	return f
 }
 
+// setOrder replaces the scheduler by an empty one with another order of jobs.
+func (f *fleet) setOrder(order triage.Policy) {
+	l := limits
+	l.Order = order
+	f.scheduler = shard.NewScheduler(l, f.recordEvent)
+	f.setRules()
+	for _, n := range f.nodes {
+		f.open(n)
+	}
+}
+
 // add adds a worker.
 func (f *fleet) add() {
 	n := &fleetNode{name: fmt.Sprintf("n%02d", len(f.nodes)), size: spar.Size{CPUMilli: 16000, MemoryMB: 64000}}
@@ -95,8 +113,12 @@
 func (f *fleet) list(n *fleetNode, complete bool) {
 	n.listedAt = f.now
 	m := &link.AgentMessage{Heartbeat: 1, Complete: complete, Ended: n.ended}
-	for r := range n.runs {
-		m.Running = append(m.Running, spar.Running{Task: r.task, Run: r.run, Percent: 100})
+	for r, at := range n.runs {
+		percent := 100
+		if d := f.times[r.task.Job]; d > 0 {
+			percent = int(100 * f.now.Sub(at) / d)
+		}
+		m.Running = append(m.Running, spar.Running{Task: r.task, Run: r.run, Percent: percent})
 	}
 	f.report(n.name, m)
 	f.scheduler.GrantLease(n.name, f.tokens[n.name], f.now)
@@ -135,7 +157,7 @@
 // endTasks ends the tasks of a worker that are done, and lists its runs when it is time.
 func (f *fleet) endTasks(n *fleetNode) {
 	for r, at := range n.runs {
-		if r.standing || f.now.Sub(at) < r.time() {
+		if r.standing || f.now.Sub(at) < f.timeOf(r) {
 			continue
 		}
 		ending := spar.EndDone
