--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -24,6 +24,10 @@
 // the owner waits in.
 const maxGatherTries = 2
 
+// minRelayTime is how much time a caller must have left for its record to be sent to
+// another entry. With less, a refusal that is certain would become an unknown outcome.
+const minRelayTime = 100 * time.Millisecond
+
 // relayMemory is how long a record that another entry stored shows that entries
 // reach the store.
 const relayMemory = 3 * time.Second
@@ -195,8 +199,12 @@
 	return others[rand.IntN(len(others))]
 }
 
-// relay stores a record through another entry.
+// relay stores a record through another entry. It is refused without a call if the
+// caller has too little time left for the answer.
 func (c *Client) relay(ctx context.Context, peer string, r spar.Record) error {
+	if left := capToDeadline(ctx, relayTimeout); left < minRelayTime {
+		return errors.Mark(errors.Newf("only %s left to store the record through the entry at %s", left, peer), spar.ErrRefused)
+	}
 	code, _, err := c.candidate.peers.Call(fasthttp.MethodPost, peer, "/records?key="+url.QueryEscape(r.Key), r.Value, capToDeadline(ctx, relayTimeout))
 	var op *net.OpError
 	switch {
--- a/entry/owner/write_test.go
+++ b/entry/owner/write_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"testing"
 
 	"github.com/berylspar/spar"
@@ -37,3 +38,14 @@
 		})
 	}
 }
+
+// A caller with hardly any time left comes while the store is away. A record that is sent
+// to another entry then has no answer in time, so that the outcome would be unknown.
+func TestRecordIsNotRelayedWithoutTimeForTheAnswer(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), minRelayTime/2)
+	defer cancel()
+	c := NewClient(newTestTerm(nil).Common, &Candidate{peers: &routedPeers{}}, nil)
+	if err := c.relay(ctx, "e1", spar.Record{Key: JobPrefix + "a"}); !errors.Is(err, spar.ErrRefused) {
+		t.Errorf("%v, want a refusal without a call", err)
+	}
+}
