Admit: only what goes ahead of a job makes it wait

Work at the same priority counts now by the size of its jobs, and only that of no larger ones goes ahead.

--- a/admit/decide.go
+++ b/admit/decide.go
@@ -40,7 +40,7 @@
 		used bool
 	}{{s.Reserved, q.Reserves}, {s.Filling, q.Fills}} {
 		if b.used {
-			w, ok := b.WaitAt(q.Priority)
+			w, ok := b.WaitAt(q.Priority, SizeOf(q.Work))
 			wait, known = max(wait, w), known && ok
 		}
 	}
--- a/admit/decide_test.go
+++ b/admit/decide_test.go
@@ -48,6 +48,8 @@
 		"retries that return together":         {backlog(Waiting{Work: 60 * second}), often, RefusedOften},
 		"burst that is late already":           {backlog(Waiting{Priority: 2, Late: 60 * second}), short(2), InTime},
 		"late work that is more urgent":        {backlog(Waiting{Priority: 0, Late: 60 * second}), short(2), Hopeless},
+		"burst of larger jobs":                 {backlog(Waiting{Priority: 2, Work: 60 * second, Sizes: [sizes]time.Duration{8: 60 * second}}), short(2), InTime},
+		"burst of smaller jobs":                {backlog(Waiting{Priority: 2, Work: 60 * second, Sizes: [sizes]time.Duration{0: 60 * second}}), short(2), Hopeless},
 		"repeat amid a burst":                  {backlog(Waiting{Work: 60 * second}), repeat, Repeat},
 		"standing job amid a burst":            {backlog(Waiting{Work: 60 * second}), standing, Lasting},
 		"room lost to a zone":                  {slower, short(2), Hopeless},
--- a/admit/load.go
+++ b/admit/load.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"math/bits"
+	"time"
+)
 
 // Load is what is known of the services at one moment. The zero value knows nothing.
 type Load struct {
@@ -36,19 +39,43 @@
 	// Tasks is the number of tasks, and Oldest how long the first of them has waited.
 	Tasks  int           `json:"tasks"`
 	Oldest time.Duration `json:"oldest_ns"`
+	// Sizes splits Work by the size of the job that it belongs to; see SizeOf. What is
+	// missing in it goes ahead of everything.
+	Sizes [sizes]time.Duration `json:"sizes_ns,omitzero"`
 }
 
-// WaitAt returns how long the backlog takes that goes before or beside new work of a
-// priority, and false if that is not known.
-func (b Backlog) WaitAt(priority int) (time.Duration, bool) {
+// sizes is the number of sizes of jobs.
+const sizes = 12
+
+// SizeOf returns the size of a job by its work left, on one processor: sizes double, from
+// a quarter of a second on.
+func SizeOf(work time.Duration) int {
+	return min(bits.Len64(uint64(max(work, 0)/(250*time.Millisecond))), sizes-1)
+}
+
+// ahead returns the work that goes before or beside a new job of a priority and size:
+// that of higher priorities, and at its own what is in time and no larger. Larger jobs
+// have less worth for their work, so they wait.
+func (w Waiting) ahead(priority, size int) time.Duration {
+	switch {
+	case w.Priority > priority:
+		return 0
+	case w.Priority < priority:
+		return w.Work + w.Late
+	}
+	ahead := w.Work
+	for s := size + 1; s < sizes; s++ {
+		ahead -= w.Sizes[s]
+	}
+	return max(ahead, 0)
+}
+
+// WaitAt returns how long the backlog takes that goes before or beside a new job of a
+// priority and a size, and false if that is not known.
+func (b Backlog) WaitAt(priority, size int) (time.Duration, bool) {
 	var ahead time.Duration
 	for _, w := range b.Waiting {
-		if w.Priority <= priority {
-			ahead += w.Work
-		}
-		if w.Priority < priority {
-			ahead += w.Late
-		}
+		ahead += w.ahead(priority, size)
 	}
 	if ahead <= 0 {
 		return 0, true
--- a/admit/request.go
+++ b/admit/request.go
@@ -22,6 +22,8 @@
 	ID       string
 	Service  string
 	Priority int
+	// Work is the time that the job takes on one processor.
+	Work time.Duration
 	// Objective is the time in which the job should complete.
 	Objective time.Duration
 	// Standing is set if a part of the job runs until it is cancelled.
@@ -43,6 +45,7 @@
 	r := Request{ID: j.ID, Service: q.Service, Priority: q.Priority, Objective: time.Duration(q.Stretch*float64(shortestPath)) + q.Slack}
 	for _, s := range j.Steps {
 		r.Standing = r.Standing || s.Standing
+		r.Work += time.Duration(s.Count) * s.Estimate * time.Duration(max(s.Size.CPUMilli, 1)) / 1000
 		r.Fills = r.Fills || s.Fills
 		r.Reserves = r.Reserves || !s.Fills
 	}
--- a/entry/owner/backlog.go
+++ b/entry/owner/backlog.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"time"
 
 	"github.com/berylspar/spar/admit"
@@ -25,8 +26,8 @@
 // backlogSeries is what a backlog is reported by.
 type backlogSeries struct{ service, queue, room string }
 
-// reportBacklog reports what waits in each queue, for how long, and how long new work
-// of the queue is expected to wait. The lock of the state is held.
+// reportBacklog reports what waits in each queue, for how long, and how long a new large job
+// of the queue would wait for its first start. The lock of the state is held.
 func (t *term) reportBacklog(now time.Time) {
 	b := &t.backlog
 	if now.Sub(b.reportedAt) < backlogInterval {
@@ -55,7 +56,7 @@
 	for _, w := range b.Waiting {
 		k.queue = w.Queue
 		t.backlog.series[k] = true
-		wait, known := b.WaitAt(w.Priority)
+		wait, known := b.WaitAt(w.Priority, admit.SizeOf(math.MaxInt64))
 		t.setBacklog(k, w, wait)
 		if logs && w.Oldest >= minReportedWait {
 			t.Info("work waits", "service", k.service, "queue", k.queue, "room", k.room, "priority", w.Priority, "tasks", w.Tasks, "oldest", w.Oldest,
--- a/shard/load.go
+++ b/shard/load.go
@@ -108,6 +108,7 @@
 		w.Late += work
 	} else {
 		w.Work += work
+		w.Sizes[admit.SizeOf(s.occurrenceWorkLeft())] += work
 	}
 	w.Tasks += tasks
 	w.Oldest = max(w.Oldest, now.Sub(s.occurrence.due))
