--- a/shard/burst_test.go
+++ b/shard/burst_test.go
@@ -18,10 +18,7 @@
 func burstDay(t *testing.T, order triage.Policy, seed uint64) (completed, inTime int) {
 	f := newFleet(t, 4)
 	f.times = map[string]time.Duration{}
-	l := limits
-	l.Order = order
-	f.scheduler = shard.NewScheduler(l, f.recordEvent)
-	f.setRules()
+	f.setOrder(order)
 	for _, n := range f.nodes {
 		f.open(n)
 	}
--- a/shard/harness_test.go
+++ b/shard/harness_test.go
@@ -7,6 +7,7 @@
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/shard"
+	"github.com/berylspar/spar/triage"
 )
 
 // harness drives a Scheduler as an owner does, with a store that never fails.
@@ -37,6 +38,14 @@
 	return h
 }
 
+// setOrder replaces the empty scheduler by one with another order.
+func (h *harness) setOrder(p triage.Policy) {
+	l := limits
+	l.Order = p
+	h.scheduler = shard.NewScheduler(l, h.recordEvent)
+	h.setRules()
+}
+
 func (h *harness) recordEvent(e shard.Event) { h.events = append(h.events, e) }
 
 func (h *harness) setRules() {
--- a/shard/load_bench_test.go
+++ b/shard/load_bench_test.go
@@ -7,12 +7,14 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/link"
+	"github.com/berylspar/spar/triage"
 )
 
 // busyShard connects workers that each run serving tasks and fills of several
 // images, and submits fills that find no room.
-func busyShard(b testing.TB, workers int) (*harness, map[string][]spar.StartOrder) {
+func busyShard(b testing.TB, workers int, order triage.Policy) (*harness, map[string][]spar.StartOrder) {
 	h := newHarness(b)
+	h.setOrder(order)
 	for i := range workers {
 		h.connect(fmt.Sprintf("n%03d", i))
 	}
@@ -56,23 +58,29 @@
 // BenchmarkBusySecond measures one second of a shard whose agents report twice
 // and whose owner plans after each report, while fills wait.
 func BenchmarkBusySecond(b *testing.B) {
-	for _, workers := range []int{30, 100, 300} {
-		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			h, onNode := busyShard(b, workers)
-			b.ResetTimer()
-			for range b.N {
-				for range 2 {
-					for node, orders := range onNode {
-						h.advance(500 * time.Millisecond / time.Duration(workers))
-						h.reportNode(node, orders)
-					}
-					for range 25 {
-						h.scheduler.Tick(h.now, h.now)
-						h.scheduler.Plan(h.now)
-					}
+	for _, order := range []triage.Policy{triage.LeastWork, triage.Value} {
+		for _, workers := range []int{30, 100, 300} {
+			b.Run(fmt.Sprintf("order=%s/workers=%d", order, workers), func(b *testing.B) {
+				h, onNode := busyShard(b, workers, order)
+				b.ResetTimer()
+				for range b.N {
+					h.busySecond(workers, onNode)
 				}
-				h.runCycle()
-			}
-		})
+			})
+		}
+	}
+}
+
+func (h *harness) busySecond(workers int, onNode map[string][]spar.StartOrder) {
+	for range 2 {
+		for node, orders := range onNode {
+			h.advance(500 * time.Millisecond / time.Duration(workers))
+			h.reportNode(node, orders)
+		}
+		for range 25 {
+			h.scheduler.Tick(h.now, h.now)
+			h.scheduler.Plan(h.now)
+		}
 	}
+	h.runCycle()
 }
