--- a/shard/burst_test.go
+++ b/shard/burst_test.go
@@ -19,6 +19,9 @@
 	f := newFleet(t, 4)
 	f.times = map[string]time.Duration{}
 	f.setOrder(order)
+	for _, n := range f.nodes {
+		f.open(n)
+	}
 	random := rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // a fixed seed repeats the day
 	objectives := map[string]time.Time{}
 	begun := f.now
--- a/shard/explain_test.go
+++ b/shard/explain_test.go
@@ -22,6 +22,9 @@
 			f := newFleet(t, 3+random.IntN(5))
 			if seed%2 == 1 {
 				f.setOrder(triage.Value)
+				for _, n := range f.nodes {
+					f.open(n)
+				}
 			}
 			f.submit("last1", "watches", spar.Step{Count: 4, Standing: true, Size: spar.Size{CPUMilli: 4000, MemoryMB: 4000}, Image: "web", TailTarget: 18 * time.Millisecond})
 			for n := range 60 {
--- a/shard/load_test.go
+++ b/shard/load_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/admit"
+	"github.com/berylspar/spar/triage"
 )
 
 // What waits counts by priority and by the room that it takes; what runs does not, and
@@ -48,7 +49,7 @@
 func BenchmarkLoad(b *testing.B) {
 	for _, workers := range []int{30, 300} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			h, _ := busyShard(b, workers)
+			h, _ := busyShard(b, workers, triage.LeastWork)
 			b.ResetTimer()
 			for range b.N {
 				h.now = h.now.Add(time.Second)
