Settings: limits on what clients may take

Settings only; nothing reads them yet, so that tests of a crowd can run on the code as it stands with the settings that the bounds will have.

--- a/common/settings.go
+++ b/common/settings.go
@@ -2,6 +2,8 @@
 // recent decisions, the servers and admin endpoints, and the parsing of flags.
 package common
 
+import "github.com/berylspar/spar/guard"
+
 // Settings are the settings that all daemons share.
 type Settings struct {
 	// LogLevel is the minimum level of log lines.
@@ -12,6 +14,8 @@
 	TraceShare float64 `json:"trace_share" jsonschema:"minimum=0,maximum=1,description=share of requests that are traced"`
 	// Admin is the address of the metrics and health endpoints.
 	Admin string `json:"admin" jsonschema:"minLength=1,description=address of /metrics and /healthz and /readyz and of the operators' endpoints"`
+	// Limits bounds what clients can take of the instance.
+	Limits guard.Limits `json:"limits" jsonschema:"description=bounds of what clients can take of the instance"`
 }
 
 // DefaultSettings returns settings that log from level info on and do not trace.
--- a/stand/app/settings.go
+++ b/stand/app/settings.go
@@ -1,5 +1,7 @@
 package app
 
+import "github.com/berylspar/spar/guard"
+
 // Settings of the stand-in.
 type Settings struct {
 	// Listen is the address of the log, the worker API and fault injection.
@@ -14,6 +16,8 @@
 	Slots int `json:"slots" jsonschema:"minimum=1,description=requests that a backend serves at once"`
 	// Workers are the simulated machines.
 	Workers []WorkerSettings `json:"workers" jsonschema:"description=the machines"`
+	// Limits bounds what clients can take of the process.
+	Limits guard.Limits `json:"limits" jsonschema:"description=bounds of what clients can take of the process"`
 }
 
 // WorkerSettings are the settings of one machine.
