Guard: connections and bytes of clients are admitted before buffers are taken

Every listener of entry, agent and stand went through fasthttp's own limits: 1 to 4 MiB a body, allocated when announced, no bound of connections or of their sum, and buffers kept once grown. A table of connections now holds what each takes; a request waits for room, or is refused with 503 before it is handled, and the request that has been arriving for longest loses its connection first. Bodies grow as they arrive. Calls between entries and agents of the first design speak HTTP/1 only, as their clients do: streams of HTTP/2 would share one connection in the account.

Ruled out: the server's per-request limits alone (they bound no sum), and reading the header twice to see the announced length.

--- a/agent/app/daemon.go
+++ b/agent/app/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/berylspar/spar/agent/tasks"
 	"github.com/berylspar/spar/colo"
 	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/guard"
 	"github.com/berylspar/spar/hops"
 	"github.com/berylspar/spar/wire"
 	"github.com/cockroachdb/errors"
@@ -107,9 +108,9 @@
 	r := router.New()
 	common.AddAdminRoutes(r, d.Health, d.base.Reporter)
 	return []<-chan error{
-		common.ServeFastHTTP(ctx, requests, d.relay.Handle, hops.MaxBodyBytes),
-		common.ServeRPC(ctx, control, m),
-		common.ServeFastHTTP(ctx, admin, r.Handler, common.MaxAdminBodyBytes),
+		d.ServeFastHTTP(ctx, requests, guard.Callers, d.relay.Handle, hops.MaxBodyBytes),
+		d.ServeRPC(ctx, control, m, hops.MaxBodyBytes),
+		d.ServeFastHTTP(ctx, admin, guard.Operators, r.Handler, common.MaxAdminBodyBytes),
 	}, nil
 }
 
--- a/agent/batch/app.go
+++ b/agent/batch/app.go
@@ -13,6 +13,7 @@
 	"github.com/berylspar/spar/agent/exec"
 	"github.com/berylspar/spar/clock"
 	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/guard"
 	"github.com/berylspar/spar/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
@@ -108,7 +109,7 @@
 	d.Info("agent starts", "name", p.Settings.Name, "domain", p.Settings.Domain, "control", p.Settings.Control)
 	r := router.New()
 	p.Heartbeats.Routes(r)
-	ends := []<-chan error{p.Executor.Run(ctx), metrics, common.ServeFastHTTP(ctx, l, d.Recovering(r.Handler), maxHeartbeatBytes)}
+	ends := []<-chan error{p.Executor.Run(ctx), metrics, d.ServeFastHTTP(ctx, l, guard.Checks, d.Recovering(r.Handler), maxHeartbeatBytes)}
 	d.AwaitStop(ctx)
 	d.Info("agent stops")
 	d.AwaitShutdown(ends)
--- a/common/admin.go
+++ b/common/admin.go
@@ -4,10 +4,14 @@
 	"context"
 	"net"
 
+	"github.com/berylspar/spar/guard"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
 )
 
+// maxBatchAdminBytes bounds the body of a request of an operator or a peer.
+const maxBatchAdminBytes = 16 << 10
+
 // ServeAdmin serves /metrics, /healthz, /readyz and the routes that add registers
 // at an address until the context ends. add may be nil.
 func ServeAdmin(ctx context.Context, address string, b *Base, add func(*router.Router)) (<-chan error, error) {
@@ -20,5 +24,5 @@
 	if add != nil {
 		add(r)
 	}
-	return ServeFastHTTP(ctx, l, b.Common.Recovering(r.Handler), maxHeaderBytes), nil
+	return b.Common.ServeFastHTTP(ctx, l, guard.Operators, b.Common.Recovering(r.Handler), maxBatchAdminBytes), nil
 }
--- a/common/base.go
+++ b/common/base.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"io"
+	"os"
+	"runtime/debug"
 
 	"github.com/berylspar/spar/event"
+	"github.com/berylspar/spar/guard"
 	"github.com/uber-go/tally/v4/prometheus"
 )
 
@@ -24,13 +27,21 @@
 		return nil, err
 	}
 	scope, reporter, closer := NewScope(program)
-	return &Base{
-		Common: Common{
-			Logger: NewLogger(errs, s, program, name), Scope: scope, Tracer: tracer,
-			Ring: &event.Ring{}, Health: &Health{},
-		},
-		Reporter: reporter, flush: flush, closer: closer,
-	}, nil
+	c := Common{
+		Logger: NewLogger(errs, s, program, name), Scope: scope, Tracer: tracer,
+		Ring: &event.Ring{}, Health: &Health{},
+	}
+	c.Guard = guard.NewGuard(s.Limits, scope, c.Warn)
+	limitHeap(s.Limits)
+	return &Base{Common: c, Reporter: reporter, flush: flush, closer: closer}, nil
+}
+
+// limitHeap sets the soft memory limit of the runtime, unless the environment does or
+// the memory is unknown.
+func limitHeap(l guard.Limits) {
+	if l.MemoryMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(l.MemoryLimit())
+	}
 }
 
 // Close flushes spans and metrics.
--- a/common/common.go
+++ b/common/common.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/berylspar/spar/event"
+	"github.com/berylspar/spar/guard"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -23,6 +24,8 @@
 	trace.Tracer
 	*event.Ring
 	Health *Health
+	// Guard bounds the clients of the daemon's listeners; nil has the default limits.
+	Guard *guard.Guard
 }
 
 // Health is the state that the health endpoints report. The zero value is alive
--- a/common/serve.go
+++ b/common/serve.go
@@ -6,20 +6,16 @@
 	"net/http"
 	"time"
 
+	"github.com/berylspar/spar/guard"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
+	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 )
 
-// Limits of the HTTP servers.
-const (
-	maxHeaderBytes  = 16 << 10
-	readTimeout     = 10 * time.Second
-	idleTimeout     = 60 * time.Second
-	shutdownTimeout = 10 * time.Second
-)
+const shutdownTimeout = 10 * time.Second
 
 // AddAdminRoutes adds /metrics, /healthz and /readyz to a router.
 func AddAdminRoutes(r *router.Router, h *Health, p prometheus.Reporter) {
@@ -34,26 +30,34 @@
 	})
 }
 
-// ServeFastHTTP serves a fasthttp handler on a listener until the context ends,
-// and then finishes the requests in progress. maxBody bounds the body of a request
-// in bytes.
+// ServeFastHTTP serves a handler as Common.ServeFastHTTP does for callers, with the
+// default limits.
 func ServeFastHTTP(ctx context.Context, l net.Listener, handler fasthttp.RequestHandler, maxBody int) <-chan error {
-	s := &fasthttp.Server{
-		Handler: handler, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBody,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true,
-		CloseOnShutdown: true, Logger: discardLogger{},
-	}
-	return serveUntil(ctx, l, s.Serve, s.ShutdownWithContext)
+	return Common{}.ServeFastHTTP(ctx, l, guard.Callers, handler, maxBody)
 }
 
-// ServeRPC serves Connect handlers on a listener, over HTTP/1 and cleartext
-// HTTP/2, until the context ends.
-func ServeRPC(ctx context.Context, l net.Listener, handler http.Handler) <-chan error {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	s := &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	return serveUntil(ctx, l, s.Serve, s.Shutdown)
+// ServeFastHTTP serves a fasthttp handler on a listener for clients of a kind until the
+// context ends, and then finishes the requests in progress. maxBody bounds the body of
+// a request in bytes.
+func (c Common) ServeFastHTTP(ctx context.Context, l net.Listener, k guard.Kind, handler fasthttp.RequestHandler, maxBody int) <-chan error {
+	g := c.guard()
+	s := g.Server(handler, maxBody)
+	return serveUntil(ctx, g.Listen(l, k), s.Serve, s.ShutdownWithContext)
+}
+
+// ServeRPC serves Connect handlers on a listener, over HTTP/1, until the context ends.
+// maxBody bounds the body of a request in bytes.
+func (c Common) ServeRPC(ctx context.Context, l net.Listener, handler http.Handler, maxBody int) <-chan error {
+	g := c.guard()
+	s := g.RPCServer(handler, maxBody)
+	return serveUntil(ctx, g.Listen(l, guard.Operators), s.Serve, s.Shutdown)
+}
+
+func (c Common) guard() *guard.Guard {
+	if c.Guard != nil {
+		return c.Guard
+	}
+	return guard.NewGuard(guard.Limits{}, tally.NoopScope, func(string, ...any) {})
 }
 
 // serveUntil serves until the context ends, and then shuts down within
@@ -78,8 +82,3 @@
 
 // MaxAdminBodyBytes bounds the body of an operator's request.
 const MaxAdminBodyBytes = 1 << 20
-
-// discardLogger drops the HTTP server's log lines about clients that disconnected.
-type discardLogger struct{}
-
-func (discardLogger) Printf(string, ...any) {}
--- a/entry/app/daemon.go
+++ b/entry/app/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/berylspar/spar/entry/rules"
 	"github.com/berylspar/spar/entry/watch"
 	"github.com/berylspar/spar/fold"
+	"github.com/berylspar/spar/guard"
 	"github.com/berylspar/spar/hops"
 	"github.com/berylspar/spar/member"
 	"github.com/berylspar/spar/route"
@@ -180,9 +181,9 @@
 	common.AddAdminRoutes(o, d.Health, d.deps.Base.Reporter)
 	d.deps.Admin.AddOperatorRoutes(o)
 	return []<-chan error{
-		common.ServeFastHTTP(ctx, callers, d.callerHandler(), hops.MaxBodyBytes),
-		common.ServeRPC(ctx, control, m),
-		common.ServeFastHTTP(ctx, operators, o.Handler, common.MaxAdminBodyBytes),
+		d.ServeFastHTTP(ctx, callers, guard.Callers, d.callerHandler(), hops.MaxBodyBytes),
+		d.ServeRPC(ctx, control, m, hops.MaxBodyBytes),
+		d.ServeFastHTTP(ctx, operators, guard.Operators, o.Handler, common.MaxAdminBodyBytes),
 	}, nil
 }
 
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -14,6 +14,7 @@
 	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/entry/config"
 	"github.com/berylspar/spar/entry/owner"
+	"github.com/berylspar/spar/guard"
 	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
@@ -87,7 +88,7 @@
 
 // Serve serves callers on a listener until the context ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) <-chan error {
-	return common.ServeFastHTTP(ctx, l, s.Recovering(func(c *fasthttp.RequestCtx) { s.handle(ctx, c) }), maxBodyBytes)
+	return s.ServeFastHTTP(ctx, l, guard.Callers, s.Recovering(func(c *fasthttp.RequestCtx) { s.handle(ctx, c) }), maxBodyBytes)
 }
 
 // ServeReady answers the balancer's health checks on a listener until the context
@@ -99,7 +100,7 @@
 			c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
 	})
-	return common.ServeFastHTTP(ctx, l, r.Handler, maxBodyBytes)
+	return s.ServeFastHTTP(ctx, l, guard.Checks, r.Handler, maxBodyBytes)
 }
 
 // Drain makes health checks fail, so that the balancer sends callers elsewhere.
--- /dev/null
+++ b/guard/conn.go
@@ -0,0 +1,120 @@
+package guard
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// lingerTime and lingerBytes bound what is read and dropped after a refusal, since
+	// closing a connection with unread bytes would reset it before the answer arrives.
+	lingerTime  = 250 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
+// unavailable is the answer to a request for whose header there was no memory.
+const unavailable = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Conn is a connection that the guard accounts for. Its owner closes it.
+type Conn struct {
+	net.Conn
+	guard *Guard
+	entry *Entry
+	// reserved tells whether the bytes of a first request are reserved; body is what is
+	// reserved for the request in progress. Both belong to the reader.
+	reserved bool
+	body     int
+	refused  bool
+	once     sync.Once
+}
+
+// Read reads, and reserves what a first request takes before it returns the first byte.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.reserved && c.entry.kind != Agents {
+		c.guard.move(c.entry, Reading)
+		if e := c.guard.reserve(context.Background(), c.entry, requestBytes); e != nil {
+			c.refuse()
+			return 0, e
+		}
+		c.reserved = true
+	}
+	return n, err
+}
+
+// refuse answers that there is no memory, in place of the server.
+func (c *Conn) refuse() {
+	if c.SetWriteDeadline(time.Now().Add(lingerTime)) == nil {
+		// The client may be gone.
+		_, _ = c.Write([]byte(unavailable))
+	}
+	c.refused = true
+}
+
+// Reserve waits for n bytes of memory for a message, with what it decodes to. The
+// error is ErrNoRoom, or net.ErrClosed if the connection has been closed to make room.
+func (c *Conn) Reserve(n int) error {
+	return c.guard.reserve(context.Background(), c.entry, n*frameCost)
+}
+
+// Release returns what Reserve has reserved.
+func (c *Conn) Release(n int) { c.guard.release(c.entry, n*frameCost) }
+
+// Hold keeps the connection open also when room is short. It returns false if it has
+// been closed.
+func (c *Conn) Hold() bool { return c.guard.move(c.entry, Session) }
+
+// begin notes that a request arrives.
+func (c *Conn) begin() { c.guard.move(c.entry, Reading) }
+
+// end notes that the request has been answered.
+func (c *Conn) end() {
+	c.resize(0)
+	c.guard.move(c.entry, Idle)
+}
+
+// resize changes the bytes of the request to n, which may not be more than before.
+func (c *Conn) resize(n int) {
+	c.guard.release(c.entry, c.body-n)
+	c.body = n
+}
+
+// grow reserves bytes for the request, n in all.
+func (c *Conn) grow(n int) error {
+	if err := c.guard.reserve(context.Background(), c.entry, n-c.body); err != nil {
+		return err
+	}
+	c.body = n
+	return nil
+}
+
+// Close closes the connection and returns its memory.
+func (c *Conn) Close() error {
+	var err error
+	c.once.Do(func() {
+		if c.refused {
+			c.linger()
+		}
+		err = c.Conn.Close()
+		c.guard.remove(c.entry)
+	})
+	return err
+}
+
+// linger lets the client read a refusal before the connection ends.
+func (c *Conn) linger() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	var dropped [4 << 10]byte
+	for total := 0; total < lingerBytes; {
+		n, err := c.Conn.Read(dropped[:])
+		if err != nil {
+			return
+		}
+		total += n
+	}
+}
--- /dev/null
+++ b/guard/guard.go
@@ -0,0 +1,233 @@
+package guard
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+// ErrNoRoom means that the process has no memory left for a request, which has not
+// been handled.
+var ErrNoRoom = errors.New("no memory left for requests")
+
+const (
+	// reserveWait is how long a request waits for memory before it is refused.
+	reserveWait = time.Second
+	// reserveRetry is the time after which more connections may be closed for it.
+	reserveRetry = 50 * time.Millisecond
+	// logInterval is the least time between two log lines with the same reason.
+	logInterval = time.Second
+)
+
+// Reason is why a client was refused or its connection closed.
+type Reason string
+
+// The reasons, which are also the names of counters.
+const (
+	// BodyTooLarge is a body over the limit of the listener.
+	BodyTooLarge Reason = "body_too_large"
+	// NoRoom is a request that found no memory in time.
+	NoRoom Reason = "no_room"
+	// TooSlow is a body that did not arrive in time.
+	TooSlow Reason = "too_slow"
+	// Evicted is a connection that was closed to make room.
+	Evicted Reason = "evicted"
+	// TooMany is a connection beyond the bound of its listener.
+	TooMany Reason = "too_many"
+)
+
+// Guard bounds the clients of all listeners of a process.
+type Guard struct {
+	limits Limits
+	scope  tally.Scope
+	warn   func(msg string, pairs ...any)
+	begun  time.Time
+
+	mu    sync.Mutex
+	table *Table
+	conns map[*Entry]*Conn
+	// released is closed when bytes are released, if anyone waits.
+	released chan struct{}
+	logged   map[Reason]*suppressed
+}
+
+// suppressed counts what has not been logged since the last line.
+type suppressed struct {
+	at    time.Time
+	count int
+}
+
+// NewGuard returns a guard. It counts in the scope and logs with warn at most one line
+// a second for each reason.
+func NewGuard(l Limits, scope tally.Scope, warn func(msg string, pairs ...any)) *Guard {
+	return &Guard{
+		limits: l, scope: scope, warn: warn, begun: time.Now(), table: NewTable(l.FlightBytes()),
+		conns: map[*Entry]*Conn{}, logged: map[Reason]*suppressed{},
+	}
+}
+
+// Limits returns the limits.
+func (g *Guard) Limits() Limits { return g.limits }
+
+func (g *Guard) now() time.Duration { return time.Since(g.begun) }
+
+// add registers a connection, or closes it if there is no room.
+func (g *Guard) add(nc net.Conn, k Kind) *Conn {
+	g.mu.Lock()
+	entry, victim := g.table.Add(k, g.limits.connections(k), g.now())
+	var c *Conn
+	if entry != nil {
+		c = &Conn{Conn: nc, guard: g, entry: entry}
+		g.conns[entry] = c
+	}
+	evicted := g.takeVictims(victim)
+	g.report()
+	g.mu.Unlock()
+	closeAll(evicted)
+	if c == nil {
+		g.refuse(TooMany, nc.RemoteAddr())
+		nc.Close()
+	}
+	return c
+}
+
+// makeRoom closes a connection, since the process has no descriptors left.
+func (g *Guard) makeRoom() {
+	g.mu.Lock()
+	evicted := g.takeVictims(g.table.Evict(g.now()))
+	g.mu.Unlock()
+	closeAll(evicted)
+}
+
+func (g *Guard) remove(e *Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Remove(e)
+	delete(g.conns, e)
+	g.wake()
+	g.report()
+}
+
+func (g *Guard) move(e *Entry, p Phase) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Move(e, p, g.now())
+}
+
+func (g *Guard) release(e *Entry, n int) {
+	if n == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Release(e, n)
+	g.wake()
+	g.report()
+}
+
+// reserve waits up to reserveWait for n bytes. The error is ErrNoRoom, or net.ErrClosed
+// if the connection has been closed to make room.
+func (g *Guard) reserve(ctx context.Context, e *Entry, n int) error {
+	var timeout <-chan time.Time
+	for {
+		ok, released, closed := g.tryReserve(e, n)
+		switch {
+		case ok:
+			return nil
+		case closed:
+			return net.ErrClosed
+		case timeout == nil:
+			timeout = time.After(reserveWait)
+		}
+		select {
+		case <-released:
+		case <-time.After(reserveRetry):
+		case <-timeout:
+			g.refuse(NoRoom, g.addressOf(e))
+			return ErrNoRoom
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for memory")
+		}
+	}
+}
+
+func (g *Guard) tryReserve(e *Entry, n int) (ok bool, released <-chan struct{}, closed bool) {
+	g.mu.Lock()
+	ok, victims := g.table.Reserve(e, n, g.now())
+	evicted := g.takeVictims(victims...)
+	if !ok && g.released == nil {
+		g.released = make(chan struct{})
+	}
+	released, closed = g.released, e.evicted
+	g.report()
+	g.mu.Unlock()
+	closeAll(evicted)
+	return ok, released, closed
+}
+
+// takeVictims returns the connections of evicted entries. The caller closes them
+// without the lock.
+func (g *Guard) takeVictims(entries ...*Entry) []*Conn {
+	var out []*Conn
+	for _, e := range entries {
+		if c := g.conns[e]; c != nil {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func closeAll(conns []*Conn) {
+	for _, c := range conns {
+		c.guard.refuse(Evicted, c.RemoteAddr())
+		// The owner of the connection sees the error and closes it again.
+		c.Conn.Close()
+	}
+}
+
+func (g *Guard) addressOf(e *Entry) net.Addr {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.conns[e]; c != nil {
+		return c.RemoteAddr()
+	}
+	return nil
+}
+
+// wake wakes those that wait for memory.
+func (g *Guard) wake() {
+	if g.released != nil {
+		close(g.released)
+		g.released = nil
+	}
+}
+
+func (g *Guard) report() {
+	g.scope.Gauge("clients_bytes").Update(float64(g.table.Used()))
+	g.scope.Gauge("clients_connections").Update(float64(g.table.Open()))
+}
+
+// refuse counts a refusal and logs it, if none was logged within logInterval.
+func (g *Guard) refuse(r Reason, from net.Addr) {
+	g.scope.Counter("clients_" + string(r)).Inc(1)
+	g.mu.Lock()
+	s := g.logged[r]
+	if s == nil {
+		s = &suppressed{}
+		g.logged[r] = s
+	}
+	s.count++
+	count, used, open := s.count, g.table.Used(), g.table.Open()
+	due := time.Since(s.at) >= logInterval
+	if due {
+		s.at, s.count = time.Now(), 0
+	}
+	g.mu.Unlock()
+	if due {
+		g.warn("client refused", "reason", string(r), "count", count, "last", from, "bytes", used, "limit", g.limits.FlightBytes(), "connections", open)
+	}
+}
--- /dev/null
+++ b/guard/kind.go
@@ -0,0 +1,54 @@
+package guard
+
+// Kind is who connects to a listener.
+type Kind uint8
+
+// The kinds of listeners.
+const (
+	// Callers send requests of customers.
+	Callers Kind = iota
+	// Agents keep sessions with the owner.
+	Agents
+	// Operators read metrics, and peers query each other, at one address.
+	Operators
+	// Checks are the balancer's health checks.
+	Checks
+)
+
+// Memory that clients take, in bytes.
+const (
+	// openBytes is what an open connection takes: the stack of its goroutine and the
+	// descriptor's state.
+	openBytes = 10 << 10
+	// requestBytes is what the first request of a connection adds: the buffers of the
+	// header and of the answer, and the request's context.
+	requestBytes = 24 << 10
+	// bodyCost is the memory that a byte of a body takes, with what it decodes to.
+	bodyCost = 7
+	// frameCost is the same for a message between agent and owner, whose encoding is
+	// denser.
+	frameCost = 16
+	// answerBytes is reserved for an answer to an operator, before its size is known.
+	answerBytes = 128 << 10
+)
+
+// descriptorShare returns n for a listener that may hold the n-th part of the
+// descriptors. The four kinds leave a sixth for the connections that the program opens.
+func (k Kind) descriptorShare() int {
+	switch k {
+	case Callers:
+		return 3
+	case Agents:
+		return 4
+	default:
+		return 8
+	}
+}
+
+// answerReserve returns the bytes that are reserved for an answer.
+func (k Kind) answerReserve() int {
+	if k == Operators {
+		return answerBytes
+	}
+	return 0
+}
--- /dev/null
+++ b/guard/table.go
@@ -0,0 +1,188 @@
+package guard
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Phase is what a connection does.
+type Phase uint8
+
+// The phases of a connection.
+const (
+	// Silent means that no byte of a first request has come.
+	Silent Phase = iota
+	// Reading means that a request is arriving.
+	Reading
+	// Handled means that a request is being handled.
+	Handled
+	// Answering means that an answer is being written.
+	Answering
+	// Idle means that the last request has been answered.
+	Idle
+	// Session means that both ends keep the connection open.
+	Session
+)
+
+const (
+	// readGrace is how long a request may arrive before it can lose its bytes to
+	// others. Ordinary requests arrive faster.
+	readGrace = 250 * time.Millisecond
+	// answerGrace is the same for a client that does not take its answer.
+	answerGrace = time.Second
+)
+
+// Entry is a connection in a Table.
+type Entry struct {
+	kind    Kind
+	phase   Phase
+	since   time.Duration
+	bytes   int
+	evicted bool
+}
+
+// Table accounts for the connections and bytes of all listeners, and chooses which
+// connections to close when room is short. It is not safe for concurrent use.
+type Table struct {
+	limit, used int
+	// leaving is the part of used that evicted entries still hold.
+	leaving int
+	entries map[*Entry]struct{}
+	open    map[Kind]int
+}
+
+// NewTable returns a table of at most limit bytes.
+func NewTable(limit int) *Table {
+	return &Table{limit: limit, entries: map[*Entry]struct{}{}, open: map[Kind]int{}}
+}
+
+// Used returns the bytes that are held.
+func (t *Table) Used() int { return t.used }
+
+// Open returns the number of connections of all listeners, without the evicted ones.
+func (t *Table) Open() int {
+	n := 0
+	for _, o := range t.open {
+		n += o
+	}
+	return n
+}
+
+// Add adds a connection of a listener that may hold most of them. It returns the
+// connection to close for it, if any, and a nil entry if there is no room and none
+// may be closed.
+func (t *Table) Add(k Kind, most int, now time.Duration) (added, victim *Entry) {
+	if t.open[k] >= most {
+		if victim = t.victim(now, func(e *Entry) bool { return e.kind == k }, 0); victim == nil {
+			return nil, nil
+		}
+		t.evict(victim)
+	}
+	added = &Entry{kind: k, since: now, bytes: openBytes}
+	t.entries[added] = struct{}{}
+	t.open[k]++
+	t.used += openBytes
+	return added, victim
+}
+
+// Evict chooses a connection to close of any listener, or nil.
+func (t *Table) Evict(now time.Duration) *Entry {
+	v := t.victim(now, func(*Entry) bool { return true }, 0)
+	if v != nil {
+		t.evict(v)
+	}
+	return v
+}
+
+// Reserve reserves n bytes for a connection if there is room. If there is none, it
+// returns the connections to close, which may include e itself; the caller tries again
+// when bytes have been released.
+func (t *Table) Reserve(e *Entry, n int, now time.Duration) (ok bool, victims []*Entry) {
+	for t.used-t.leaving+n > t.limit && !e.evicted {
+		v := t.victim(now, func(*Entry) bool { return true }, readGrace)
+		if v == nil {
+			break
+		}
+		t.evict(v)
+		victims = append(victims, v)
+	}
+	if e.evicted || t.used+n > t.limit {
+		return false, victims
+	}
+	e.bytes += n
+	t.used += n
+	return true, victims
+}
+
+// Release returns bytes of a connection.
+func (t *Table) Release(e *Entry, n int) {
+	if n > e.bytes {
+		panic(errors.AssertionFailedf("release %d bytes of a connection that holds %d", n, e.bytes))
+	}
+	e.bytes -= n
+	t.used -= n
+	if e.evicted {
+		t.leaving -= n
+	}
+}
+
+// Move notes the phase of a connection. It returns false if the connection has been
+// evicted.
+func (t *Table) Move(e *Entry, p Phase, now time.Duration) bool {
+	if e.evicted {
+		return false
+	}
+	e.phase, e.since = p, now
+	return true
+}
+
+// Remove removes a connection that has ended. Removing it again has no effect.
+func (t *Table) Remove(e *Entry) {
+	if _, ok := t.entries[e]; !ok {
+		return
+	}
+	t.Release(e, e.bytes)
+	if !e.evicted {
+		t.open[e.kind]--
+	}
+	delete(t.entries, e)
+}
+
+func (t *Table) evict(e *Entry) {
+	e.evicted = true
+	t.leaving += e.bytes
+	t.open[e.kind]--
+}
+
+// victim returns the connection whose end costs least: a request that has been
+// arriving for longest, for grace at least, then the connection that has been idle for
+// longest, then an answer that is not taken. Requests being handled and sessions stay.
+func (t *Table) victim(now time.Duration, eligible func(*Entry) bool, grace time.Duration) *Entry {
+	var best *Entry
+	bestRank := 0
+	for e := range t.entries {
+		rank := e.rank(now, grace)
+		if rank == 0 || e.evicted || !eligible(e) {
+			continue
+		}
+		if best == nil || rank < bestRank || rank == bestRank && e.since < best.since {
+			best, bestRank = e, rank
+		}
+	}
+	return best
+}
+
+// rank returns the order in which connections are closed, from 1, or 0 for one that
+// stays.
+func (e *Entry) rank(now, grace time.Duration) int {
+	switch age := now - e.since; {
+	case (e.phase == Silent || e.phase == Reading) && age >= grace:
+		return 1
+	case e.phase == Idle:
+		return 2
+	case e.phase == Answering && age >= answerGrace:
+		return 3
+	}
+	return 0
+}
--- a/stand/app/main.go
+++ b/stand/app/main.go
@@ -12,9 +12,11 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/guard"
 	"github.com/berylspar/spar/stand/back"
 	"github.com/berylspar/spar/stand/logs"
 	"github.com/berylspar/spar/stand/work"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/dig"
 )
 
@@ -67,7 +69,8 @@
 	if err != nil {
 		return err
 	}
-	ends := []<-chan error{common.ServeFastHTTP(ctx, l, p.handler(), maxBodyBytes)}
+	c := common.Common{Guard: guard.NewGuard(s.Limits, tally.NoopScope, func(string, ...any) {})}
+	ends := []<-chan error{c.ServeFastHTTP(ctx, l, guard.Callers, p.handler(), maxBodyBytes)}
 	for _, w := range m {
 		if w.settings.Backend == "" {
 			continue
@@ -76,7 +79,7 @@
 		if err != nil {
 			return err
 		}
-		ends = append(ends, common.ServeFastHTTP(ctx, l, w.server.Handle, maxBodyBytes))
+		ends = append(ends, c.ServeFastHTTP(ctx, l, guard.Callers, w.server.Handle, maxBodyBytes))
 	}
 	for _, e := range ends {
 		if err := <-e; err != nil {
