Link, codec: messages of strangers take no more than the guard admits

A frame's length made Receive allocate up to 8 MiB before a byte had come, and a message of nested arrays, a byte each, outgrew the stack of the decoder, which ends the process.

--- a/entry/batch/daemon.go
+++ b/entry/batch/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/berylspar/spar/entry/config"
 	"github.com/berylspar/spar/entry/jobapi"
 	"github.com/berylspar/spar/entry/owner"
+	"github.com/berylspar/spar/guard"
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/platform"
 	"github.com/berylspar/spar/track"
@@ -81,7 +82,7 @@
 		},
 		func(c *platform.Client) spar.Adviser { return newAdviser(c, s.Adviser) },
 		func(c common.Common, st spar.Store, ad spar.Adviser, w *config.Watcher, l *listeners) *owner.Candidate {
-			return owner.NewCandidate(c, s.Owner, st, ad, w, newMemberName(s.Name), link.EntryRecord{AgentAddress: cmp.Or(s.ReachAgents, s.Agents), PeerAddress: s.Admin}, l.agents, clock.Now, owner.NewHTTPPeers())
+			return owner.NewCandidate(c, s.Owner, st, ad, w, newMemberName(s.Name), link.EntryRecord{AgentAddress: cmp.Or(s.ReachAgents, s.Agents), PeerAddress: s.Admin}, c.Guard.Listen(l.agents, guard.Agents), clock.Now, owner.NewHTTPPeers())
 		},
 		owner.NewClient,
 		func(c *owner.Client) jobapi.Jobs { return c },
--- a/entry/owner/accept.go
+++ b/entry/owner/accept.go
@@ -46,6 +46,13 @@
 	return done
 }
 
+// hold keeps a connection open also when the process is short of memory. It returns
+// false if the connection has been closed before.
+func hold(nc net.Conn) bool {
+	h, ok := nc.(interface{ Hold() bool })
+	return !ok || h.Hold()
+}
+
 // serveConnection serves a connection of an agent until it or the context ends. The first
 // message tells whether it brings departures, which any entry takes, or opens a session,
 // which only an entry with a term that is ready does.
@@ -58,6 +65,7 @@
 	case ctx.Err() != nil:
 	case err != nil:
 		c.Warn("agent rejected: no valid first message", "from", nc.RemoteAddr(), "err", err)
+	case !hold(nc):
 	case first.Departure != nil:
 		if err := c.receiveDepartures(conn, first); err != nil && ctx.Err() == nil {
 			c.Warn("departure rejected", "from", nc.RemoteAddr(), "err", err)
--- a/link/conn.go
+++ b/link/conn.go
@@ -17,9 +17,11 @@
 	// writeTimeout bounds a write, so that a peer that does not read cannot block
 	// the sender.
 	writeTimeout = 2 * time.Second
-	// maxFrameBytes bounds a frame's body, so that a corrupt length does not make
-	// Receive allocate too much.
+	// maxFrameBytes bounds a frame's body.
 	maxFrameBytes = 8 << 20
+	// firstFrameBytes is the first buffer of a frame's body, which grows as the body
+	// arrives.
+	firstFrameBytes = 16 << 10
 )
 
 // headerBytes is the length of a frame's header: the length of the body and the
@@ -30,14 +32,25 @@
 // connection.
 var ErrTooLarge = errors.New("message exceeds a frame")
 
+// Memory admits the bytes of messages. A connection that implements it is asked before
+// a buffer is taken.
+type Memory interface {
+	// Reserve waits for the memory of n bytes of a message, and of what they decode to.
+	Reserve(n int) error
+	// Release returns it.
+	Release(n int)
+}
+
 // Conn sends messages of type Out and receives messages of type In. Frames are
 // numbered, so that the receiver detects a lost one.
 type Conn[In, Out any] struct {
 	conn     net.Conn
 	reader   *bufio.Reader
 	received uint32
-	mu       sync.Mutex
-	sent     uint32
+	// held is what the last message received has reserved.
+	held int
+	mu   sync.Mutex
+	sent uint32
 }
 
 // NewConn wraps a connection.
@@ -85,13 +98,37 @@
 	if n > maxFrameBytes {
 		return nil, errors.Newf("received a frame of %d bytes, want at most %d", n, maxFrameBytes)
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(c.reader, body); err != nil {
+	body, err := c.receiveBody(int(n))
+	if err != nil {
 		return nil, errors.Wrap(err, "receive frame body")
 	}
-	m, err := codec.Decode[In](body)
+	m, err := codec.DecodeMessage[In](body)
 	return &m, err
 }
 
+// receiveBody reads n bytes into a buffer that grows as they arrive. Their memory stays
+// reserved until the next message.
+func (c *Conn[In, Out]) receiveBody(n int) ([]byte, error) {
+	memory, limited := c.conn.(Memory)
+	if limited && c.held > 0 {
+		memory.Release(c.held)
+		c.held = 0
+	}
+	var body []byte
+	for size := min(n, firstFrameBytes); ; size = min(n, 2*size) {
+		if limited {
+			if err := memory.Reserve(size - c.held); err != nil {
+				return nil, err
+			}
+			c.held = size
+		}
+		read := len(body)
+		body = append(make([]byte, 0, size), body...)[:size]
+		if _, err := io.ReadFull(c.reader, body[read:]); err != nil || size == n {
+			return body, err
+		}
+	}
+}
+
 // Close ends the connection; a Receive in progress fails.
 func (c *Conn[In, Out]) Close() error { return c.conn.Close() }
