Guard: what a body decodes to is admitted, gauges are kept

Objects and elements of a body are counted before it is handled: 256 KiB of {}, decode to 17 MB and more. A new connection waits shortly for those closed for it. The gauges and counters are looked up once.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -14,11 +14,18 @@
 // been handled.
 var ErrNoRoom = errors.New("no memory left for requests")
 
+// errTooLarge means that a request exceeds the limit of the listener, or all the memory
+// that there is for requests.
+var errTooLarge = errors.New("request over the limit")
+
 const (
 	// reserveWait is how long a request waits for memory before it is refused.
 	reserveWait = time.Second
 	// reserveRetry is the time after which more connections may be closed for it.
 	reserveRetry = 50 * time.Millisecond
+	// addRetry and maxAddTries bound how long a new connection waits for others to end.
+	addRetry    = 10 * time.Millisecond
+	maxAddTries = 5
 	// logInterval is the least time between two log lines with the same reason.
 	logInterval = time.Second
 )
@@ -42,10 +49,12 @@
 
 // Guard bounds the clients of all listeners of a process.
 type Guard struct {
-	limits Limits
-	scope  tally.Scope
-	warn   func(msg string, pairs ...any)
-	begun  time.Time
+	limits      Limits
+	warn        func(msg string, pairs ...any)
+	begun       time.Time
+	bytes       tally.Gauge
+	connections tally.Gauge
+	refusals    map[Reason]tally.Counter
 
 	mu    sync.Mutex
 	table *Table
@@ -64,35 +73,73 @@
 // NewGuard returns a guard. It counts in the scope and logs with warn at most one line
 // a second for each reason.
 func NewGuard(l Limits, scope tally.Scope, warn func(msg string, pairs ...any)) *Guard {
-	return &Guard{
-		limits: l, scope: scope, warn: warn, begun: time.Now(), table: NewTable(l.FlightBytes()),
+	g := &Guard{
+		limits: l, warn: warn, begun: time.Now(), table: NewTable(l.FlightBytes()),
+		bytes: scope.Gauge("clients_bytes"), connections: scope.Gauge("clients_connections"), refusals: map[Reason]tally.Counter{},
 		conns: map[*Entry]*Conn{}, logged: map[Reason]*suppressed{},
 	}
+	for _, r := range []Reason{BodyTooLarge, NoRoom, TooSlow, Evicted, TooMany} {
+		g.refusals[r] = scope.Counter("clients_" + string(r))
+	}
+	return g
 }
 
 // Limits returns the limits.
 func (g *Guard) Limits() Limits { return g.limits }
 
+// Usage returns the bytes and the number of connections that clients hold.
+func (g *Guard) Usage() (bytes, connections int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Used(), g.table.Open()
+}
+
 func (g *Guard) now() time.Duration { return time.Since(g.begun) }
 
-// add registers a connection, or closes it if there is no room.
+// add registers a connection, or closes it and returns nil if there is no room.
 func (g *Guard) add(nc net.Conn, k Kind) *Conn {
+	for tries := 0; ; tries++ {
+		c, again := g.tryAdd(nc, k)
+		if c != nil {
+			return c
+		}
+		if !again || tries == maxAddTries {
+			g.refuse(TooMany, nc.RemoteAddr())
+			nc.Close()
+			return nil
+		}
+	}
+}
+
+// tryAdd registers a connection, or waits shortly for those that it closes to end.
+func (g *Guard) tryAdd(nc net.Conn, k Kind) (added *Conn, again bool) {
 	g.mu.Lock()
-	entry, victim := g.table.Add(k, g.limits.connections(k), g.now())
-	var c *Conn
+	entry, victim, again := g.table.Add(k, g.limits.connections(k), g.now())
 	if entry != nil {
-		c = &Conn{Conn: nc, guard: g, entry: entry}
-		g.conns[entry] = c
+		added = &Conn{Conn: nc, guard: g, entry: entry}
+		g.conns[entry] = added
 	}
 	evicted := g.takeVictims(victim)
+	wait := again && g.table.leaving > 0
+	released := g.awaitRelease(wait)
 	g.report()
 	g.mu.Unlock()
 	closeAll(evicted)
-	if c == nil {
-		g.refuse(TooMany, nc.RemoteAddr())
-		nc.Close()
+	if wait {
+		select {
+		case <-released:
+		case <-time.After(addRetry):
+		}
 	}
-	return c
+	return added, again
+}
+
+// awaitRelease returns a channel that is closed when bytes are released, or nil.
+func (g *Guard) awaitRelease(needed bool) <-chan struct{} {
+	if needed && g.released == nil {
+		g.released = make(chan struct{})
+	}
+	return g.released
 }
 
 // makeRoom closes a connection, since the process has no descriptors left.
@@ -129,10 +176,13 @@
 	g.report()
 }
 
-// reserve waits up to reserveWait for n bytes. The error is ErrNoRoom, or net.ErrClosed
-// if the connection has been closed to make room.
+// reserve waits up to reserveWait for n bytes. The error is ErrNoRoom, errTooLarge if n
+// is more than there is, or net.ErrClosed if the connection has been closed to make room.
 func (g *Guard) reserve(ctx context.Context, e *Entry, n int) error {
 	var timeout <-chan time.Time
+	if n > g.limits.FlightBytes()-openBytes-requestBytes {
+		return errTooLarge
+	}
 	for {
 		ok, released, closed := g.tryReserve(e, n)
 		switch {
@@ -159,10 +209,7 @@
 	g.mu.Lock()
 	ok, victims := g.table.Reserve(e, n, g.now())
 	evicted := g.takeVictims(victims...)
-	if !ok && g.released == nil {
-		g.released = make(chan struct{})
-	}
-	released, closed = g.released, e.evicted
+	released, closed = g.awaitRelease(!ok), e.evicted
 	g.report()
 	g.mu.Unlock()
 	closeAll(evicted)
@@ -207,13 +254,13 @@
 }
 
 func (g *Guard) report() {
-	g.scope.Gauge("clients_bytes").Update(float64(g.table.Used()))
-	g.scope.Gauge("clients_connections").Update(float64(g.table.Open()))
+	g.bytes.Update(float64(g.table.Used()))
+	g.connections.Update(float64(g.table.Open()))
 }
 
 // refuse counts a refusal and logs it, if none was logged within logInterval.
 func (g *Guard) refuse(r Reason, from net.Addr) {
-	g.scope.Counter("clients_" + string(r)).Inc(1)
+	g.refusals[r].Inc(1)
 	g.mu.Lock()
 	s := g.logged[r]
 	if s == nil {
--- a/guard/http.go
+++ b/guard/http.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"time"
@@ -21,9 +22,6 @@
 	retryAfterSeconds = "1"
 )
 
-// errTooLarge means that a body exceeds the limit of the listener.
-var errTooLarge = errors.New("body over the limit")
-
 // Server returns a server for connections of the guard's listeners. A request is
 // handled once its body, of at most maxBody bytes, has been read. One that is refused
 // has not been handled.
@@ -143,8 +141,7 @@
 		n, err := stream.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if errors.Is(err, io.EOF) {
-			r.Request.SetBodyRaw(buffer)
-			return nil
+			return c.setBody(r, buffer, extra)
 		}
 		if err != nil {
 			return err
@@ -154,8 +151,19 @@
 	if n, err := stream.Read(make([]byte, 1)); n > 0 || !errors.Is(err, io.EOF) {
 		return errors.CombineErrors(errTooLarge, err)
 	}
-	r.Request.SetBodyRaw(buffer)
-	return nil
+	return c.setBody(r, buffer, extra)
+}
+
+// setBody sets the body that has been read, and reserves what it may decode to.
+func (c *Conn) setBody(r *fasthttp.RequestCtx, body []byte, extra int) error {
+	r.Request.SetBodyRaw(body)
+	return c.grow(max(c.body, extra+len(body)*bodyCost+decodedBytes(body)))
+}
+
+// decodedBytes bounds the memory that the values of a JSON text take, beside its texts.
+func decodedBytes(text []byte) int {
+	objects := bytes.Count(text, []byte("{")) + bytes.Count(text, []byte("["))
+	return objects*objectBytes + bytes.Count(text, []byte(","))*elementBytes
 }
 
 // refuseRequest answers a request that has not been handled, and closes the connection.
--- a/guard/kind.go
+++ b/guard/kind.go
@@ -23,8 +23,13 @@
 	// requestBytes is what the first request of a connection adds: the buffers of the
 	// header and of the answer, and the request's context.
 	requestBytes = 24 << 10
-	// bodyCost is the memory that a byte of a body takes, with what it decodes to.
-	bodyCost = 7
+	// bodyCost is the memory that a byte of a body takes, with the copies that are made
+	// of its texts.
+	bodyCost = 4
+	// objectBytes and elementBytes are what an object or array and an element of JSON may
+	// add when they are decoded.
+	objectBytes  = 512
+	elementBytes = 48
 	// frameCost is the same for a message between agent and owner, whose encoding is
 	// denser.
 	frameCost = 16
--- a/guard/table.go
+++ b/guard/table.go
@@ -31,6 +31,8 @@
 	readGrace = 250 * time.Millisecond
 	// answerGrace is the same for a client that does not take its answer.
 	answerGrace = time.Second
+	// smallShare is n if a request counts as small up to the n-th part of the limit.
+	smallShare = 32
 )
 
 // Entry is a connection in a Table.
@@ -69,24 +71,31 @@
 	return n
 }
 
-// Add adds a connection of a listener that may hold most of them. It returns the
-// connection to close for it, if any, and a nil entry if there is no room and none
-// may be closed.
-func (t *Table) Add(k Kind, most int, now time.Duration) (added, victim *Entry) {
-	if t.open[k] >= most {
-		if victim = t.victim(now, func(e *Entry) bool { return e.kind == k }, 0); victim == nil {
-			return nil, nil
-		}
+// Add adds a connection of a listener that may hold most of them. If there is no room
+// yet, it returns nil, and the connection to close for it, if any; again reports that
+// there may be room once that one or others closed earlier have ended.
+func (t *Table) Add(k Kind, most int, now time.Duration) (added, victim *Entry, again bool) {
+	switch {
+	case t.open[k] >= most:
+		victim = t.victim(now, func(e *Entry) bool { return e.kind == k }, 0)
+	case t.used-t.leaving+openBytes > t.limit:
+		victim = t.victim(now, func(*Entry) bool { return true }, 0)
+	}
+	if victim != nil {
 		t.evict(victim)
+		return nil, victim, true
+	}
+	if t.open[k] >= most || t.used+openBytes > t.limit {
+		return nil, nil, t.leaving > 0
 	}
 	added = &Entry{kind: k, since: now, bytes: openBytes}
 	t.entries[added] = struct{}{}
 	t.open[k]++
 	t.used += openBytes
-	return added, victim
+	return added, nil, false
 }
 
-// Evict chooses a connection to close of any listener, or nil.
+// Evict chooses a connection of any listener to close, or returns nil.
 func (t *Table) Evict(now time.Duration) *Entry {
 	v := t.victim(now, func(*Entry) bool { return true }, 0)
 	if v != nil {
@@ -97,10 +106,11 @@
 
 // Reserve reserves n bytes for a connection if there is room. If there is none, it
 // returns the connections to close, which may include e itself; the caller tries again
-// when bytes have been released.
+// when bytes have been released. Idle connections are closed only for small requests.
 func (t *Table) Reserve(e *Entry, n int, now time.Duration) (ok bool, victims []*Entry) {
+	small := n <= t.limit/smallShare
 	for t.used-t.leaving+n > t.limit && !e.evicted {
-		v := t.victim(now, func(*Entry) bool { return true }, readGrace)
+		v := t.victim(now, func(o *Entry) bool { return small || o.phase != Idle }, readGrace)
 		if v == nil {
 			break
 		}
