Owner: a large submission passes through another entry

The address for peers took bodies of 16 KiB, though another entry relays submissions up to a record of the store: a larger one had an unknown outcome for its caller. The address takes a record now, and a relay that is refused for its size counts as refused, since nothing has run.

--- a/agent/batch/app.go
+++ b/agent/batch/app.go
@@ -23,6 +23,9 @@
 // maxHeartbeatBytes limits the size of a heartbeat's body.
 const maxHeartbeatBytes = 4 << 20
 
+// maxAdminBytes limits the size of an operator's request, which has no body.
+const maxAdminBytes = 16 << 10
+
 // Settings holds the settings of an agent for batch work.
 type Settings struct {
 	common.Settings
@@ -102,7 +105,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on control address %q", p.Settings.Control)
 	}
-	metrics, err := common.ServeAdmin(ctx, p.Settings.Admin, p.Base, nil)
+	metrics, err := common.ServeAdmin(ctx, p.Settings.Admin, p.Base, nil, maxAdminBytes)
 	if err != nil {
 		return err
 	}
--- a/entry/batch/daemon.go
+++ b/entry/batch/daemon.go
@@ -147,7 +147,7 @@
 	d.Info("entry starts", "name", p.Settings.Name, "domain", p.Settings.Domain, "listen", p.Settings.Listen)
 	// A process that takes part in the election holds its admin address: when another
 	// one listens there, this one is over and grants no more leases.
-	metrics, err := common.ServeAdmin(serveCtx, p.Settings.Admin, p.Base, p.Candidate.AddRoutes)
+	metrics, err := common.ServeAdmin(serveCtx, p.Settings.Admin, p.Base, p.Candidate.AddRoutes, p.Candidate.MaxRequestBytes())
 	if err != nil {
 		return err
 	}
--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -153,6 +153,10 @@
 	return limit
 }
 
+// MaxRequestBytes returns the largest body of a request of another entry: a submission
+// that the store accepts.
+func (c *Candidate) MaxRequestBytes() int { return c.settings.valueBytes() }
+
 // AddRoutes adds the routes that other entries call.
 func (c *Candidate) AddRoutes(r *router.Router) {
 	// The address is held by now, so an earlier process at it is over.
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -174,8 +174,8 @@
 		c.Info("stored by another entry", "key", r.Key, "entry", peer)
 		c.Counter("relayed").Inc(1)
 		return nil
-	case fasthttp.StatusServiceUnavailable:
-		return errors.Mark(errors.Newf("entry at %s could not store the record", peer), spar.ErrRefused)
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestEntityTooLarge:
+		return errors.Mark(errors.Newf("entry at %s could not store the record: status %d", peer, code), spar.ErrRefused)
 	}
 	return errors.Mark(errors.Newf("entry at %s answered status %d to a record", peer, code), spar.ErrUnknown)
 }
