Crowd: tests of clients that nobody controls, on the code as it stands

Each checks that the process lives, that its memory and descriptors stay under the limits in its settings, and that one ordinary request is answered.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	@for m in $(filter-out prove,$(MODULES)); do (cd $$m && go test -count=1 ./...) || exit 1; done
 	@cd prove && $(PROVE) $(if $(RED),-skip '$(RED)') ./...
 	@$(if $(OTHER),cd prove && $(PROVE) $(if $(RED),-skip '$(RED)') ./soak -other '$(abspath $(OTHER))')
-	@$(if $(RED),cd prove && $(PROVE) -run '$(RED)' -v ./scene ./simul | grep -E '^ *--- (PASS|FAIL)|_test\.go:[0-9]+:' | cut -c1-400 || true)
+	@$(if $(RED),cd prove && $(PROVE) -run '$(RED)' -v ./scene ./simul ./crowd | grep -E '^ *--- (PASS|FAIL)|_test\.go:[0-9]+:' | cut -c1-400 || true)
 
 lint: ## check formatting and the linter's set
 	@for m in $(MODULES); do (cd $$m && go run $(LINTER) run ./...) || exit 1; done
--- a/prove/stage/proc.go
+++ b/prove/stage/proc.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// Exited reports whether the process has exited.
+func (p *Proc) Exited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // PID returns the process id.
 func (p *Proc) PID() int { return p.cmd.Process.Pid }
 
--- a/prove/stage/usage.go
+++ b/prove/stage/usage.go
@@ -41,3 +41,28 @@
 	pages, _ := strconv.ParseInt(fields[1], 10, 64)
 	return pages * int64(os.Getpagesize())
 }
+
+// PeakRSS returns the largest resident memory that the process has had so far in
+// bytes.
+func (p *Proc) PeakRSS() int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), "VmHWM:")
+	fields := strings.Fields(rest)
+	if len(fields) == 0 {
+		return 0
+	}
+	kilobytes, _ := strconv.ParseInt(fields[0], 10, 64)
+	return kilobytes << 10
+}
+
+// Descriptors returns the number of file descriptors that the process has open.
+func (p *Proc) Descriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+	if err != nil {
+		return 0
+	}
+	return len(entries)
+}
