--- a/prove/crowd/crowd_test.go
+++ b/prove/crowd/crowd_test.go
@@ -31,8 +31,8 @@
 	descriptors = 256
 )
 
-// limits are the limits in the settings of each process.
-var limits = map[string]any{
+// lowered are the limits in the settings of a process that a crowd is set on.
+var lowered = map[string]any{
 	"memory_mb": memoryMB, "descriptors": descriptors, "flight_mb": 8, "connections": 48,
 	"header_ms": 500, "body_ms": 500, "answer_ms": 500, "idle_ms": 2000,
 }
@@ -52,7 +52,7 @@
 // play sets a crowd on a listener of a new process.
 func play(t *testing.T, l listener, w way) {
 	d := newDeployment(t)
-	p := d.start(l.program)
+	p := d.start(l.program, lowered)
 	at := p.addresses[l.field]
 	ask := l.ask(at)
 	if !askUntil(t.Context(), ask) {
--- a/prove/crowd/deployment_test.go
+++ b/prove/crowd/deployment_test.go
@@ -69,7 +69,7 @@
 }
 
 // start starts a program with the limits and waits until it is ready.
-func (d *deployment) start(program string) *process {
+func (d *deployment) start(program string, limits map[string]any) *process {
 	fields := map[string][]string{"entry": {"listen", "ready", "agents", "admin"}, "agent": {"control", "admin"}}[program]
 	free, err := stage.FreePorts(len(fields))
 	if err != nil {
