Guard: answers count twice their length, ended connections hold nothing

Unread answers of /metrics took some 600 KB each where 128 KB were reserved (30 MB for 48 connections in the crowd's test). A connection that the server closes while its request ends no longer trips the table's assertion.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -75,9 +75,9 @@
 	c.guard.move(c.entry, Idle)
 }
 
-// resize changes the bytes of the request to n, which may not be more than before.
+// resize changes the bytes of the request to n, which it has taken already.
 func (c *Conn) resize(n int) {
-	c.guard.release(c.entry, c.body-n)
+	c.guard.change(c.entry, n-c.body)
 	c.body = n
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -165,14 +165,21 @@
 	return g.table.Move(e, p, g.now())
 }
 
-func (g *Guard) release(e *Entry, n int) {
+func (g *Guard) release(e *Entry, n int) { g.change(e, -n) }
+
+// change adds n bytes, which the connection has taken already, or returns -n.
+func (g *Guard) change(e *Entry, n int) {
 	if n == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.Release(e, n)
-	g.wake()
+	if n > 0 {
+		g.table.Force(e, n)
+	} else {
+		g.table.Release(e, -n)
+		g.wake()
+	}
 	g.report()
 }
 
--- a/guard/http.go
+++ b/guard/http.go
@@ -107,7 +107,7 @@
 			return
 		}
 		h(r)
-		c.resize(min(c.body, max(answer, len(r.Response.Body()))))
+		c.resize(len(r.Response.Body()) * answerCost)
 		g.move(c.entry, Answering)
 	}
 }
--- a/guard/kind.go
+++ b/guard/kind.go
@@ -33,8 +33,12 @@
 	// frameCost is the same for a message between agent and owner, whose encoding is
 	// denser.
 	frameCost = 16
-	// answerBytes is reserved for an answer to an operator, before its size is known.
-	answerBytes = 128 << 10
+	// answerBytes is reserved for an answer to an operator, before its size is known,
+	// with what it is made from.
+	answerBytes = 512 << 10
+	// answerCost is the memory that a byte of an answer takes, whose buffer grows by
+	// doubling.
+	answerCost = 2
 )
 
 // descriptorShare returns n for a listener that may hold the n-th part of the
--- a/guard/table.go
+++ b/guard/table.go
@@ -30,7 +30,7 @@
 	// others. Ordinary requests arrive faster.
 	readGrace = 250 * time.Millisecond
 	// answerGrace is the same for a client that does not take its answer.
-	answerGrace = time.Second
+	answerGrace = 500 * time.Millisecond
 	// smallShare is n if a request counts as small up to the n-th part of the limit.
 	smallShare = 32
 )
@@ -41,7 +41,8 @@
 	phase   Phase
 	since   time.Duration
 	bytes   int
-	evicted bool
+	// evicted entries are being closed, and removed ones have ended; both reserve no more.
+	evicted, removed bool
 }
 
 // Table accounts for the connections and bytes of all listeners, and chooses which
@@ -125,8 +126,24 @@
 	return true, victims
 }
 
-// Release returns bytes of a connection.
+// Force adds bytes that a connection has taken already, also beyond the limit, so that
+// others wait for them.
+func (t *Table) Force(e *Entry, n int) {
+	if e.removed {
+		return
+	}
+	e.bytes += n
+	t.used += n
+	if e.evicted {
+		t.leaving += n
+	}
+}
+
+// Release returns bytes that a connection holds.
 func (t *Table) Release(e *Entry, n int) {
+	if e.removed {
+		return
+	}
 	if n > e.bytes {
 		panic(errors.AssertionFailedf("release %d bytes of a connection that holds %d", n, e.bytes))
 	}
@@ -147,15 +164,17 @@
 	return true
 }
 
-// Remove removes a connection that has ended. Removing it again has no effect.
+// Remove removes a connection that has ended. Whatever is done with it afterwards has no
+// effect.
 func (t *Table) Remove(e *Entry) {
-	if _, ok := t.entries[e]; !ok {
+	if e.removed {
 		return
 	}
 	t.Release(e, e.bytes)
 	if !e.evicted {
 		t.open[e.kind]--
 	}
+	e.evicted, e.removed = true, true
 	delete(t.entries, e)
 }
 
