--- a/guard/table.go
+++ b/guard/table.go
@@ -37,10 +37,10 @@
 
 // Entry is a connection in a Table.
 type Entry struct {
-	kind    Kind
-	phase   Phase
-	since   time.Duration
-	bytes   int
+	kind  Kind
+	phase Phase
+	since time.Duration
+	bytes int
 	// evicted entries are being closed, and removed ones have ended; both reserve no more.
 	evicted, removed bool
 }
