--- a/agent/batch/app.go
+++ b/agent/batch/app.go
@@ -13,6 +13,7 @@
 	"github.com/berylspar/spar/agent/exec"
 	"github.com/berylspar/spar/clock"
 	"github.com/berylspar/spar/common"
+	"github.com/berylspar/spar/guard"
 	"github.com/berylspar/spar/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
@@ -22,6 +23,9 @@
 // maxHeartbeatBytes limits the size of a heartbeat's body.
 const maxHeartbeatBytes = 4 << 20
 
+// maxAdminBytes limits the size of an operator's request, which has no body.
+const maxAdminBytes = 16 << 10
+
 // Settings holds the settings of an agent for batch work.
 type Settings struct {
 	common.Settings
@@ -101,14 +105,14 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on control address %q", p.Settings.Control)
 	}
-	metrics, err := common.ServeAdmin(ctx, p.Settings.Admin, p.Base, nil)
+	metrics, err := common.ServeAdmin(ctx, p.Settings.Admin, p.Base, nil, maxAdminBytes)
 	if err != nil {
 		return err
 	}
 	d.Info("agent starts", "name", p.Settings.Name, "domain", p.Settings.Domain, "control", p.Settings.Control)
 	r := router.New()
 	p.Heartbeats.Routes(r)
-	ends := []<-chan error{p.Executor.Run(ctx), metrics, common.ServeFastHTTP(ctx, l, d.Recovering(r.Handler), maxHeartbeatBytes)}
+	ends := []<-chan error{p.Executor.Run(ctx), metrics, d.ServeFastHTTP(ctx, l, guard.Checks, d.Recovering(r.Handler), maxHeartbeatBytes)}
 	d.AwaitStop(ctx)
 	d.Info("agent stops")
 	d.AwaitShutdown(ends)
--- /dev/null
+++ b/guard/guard.go
@@ -0,0 +1,287 @@
+package guard
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+// ErrNoRoom means that the process has no memory left for a request, which has not
+// been handled.
+var ErrNoRoom = errors.New("no memory left for requests")
+
+// errTooLarge means that a request exceeds the limit of the listener, or all the memory
+// that there is for requests.
+var errTooLarge = errors.New("request over the limit")
+
+const (
+	// reserveWait is how long a request waits for memory before it is refused.
+	reserveWait = time.Second
+	// reserveRetry is the time after which more connections may be closed for it.
+	reserveRetry = 50 * time.Millisecond
+	// addRetry and maxAddTries bound how long a new connection waits for others to end.
+	addRetry    = 10 * time.Millisecond
+	maxAddTries = 5
+	// logInterval is the least time between two log lines with the same reason.
+	logInterval = time.Second
+)
+
+// Reason is why a client was refused or its connection closed.
+type Reason string
+
+// The reasons, which are also the names of counters.
+const (
+	// BodyTooLarge is a body over the limit of the listener.
+	BodyTooLarge Reason = "body_too_large"
+	// NoRoom is a request that found no memory in time.
+	NoRoom Reason = "no_room"
+	// TooSlow is a body that did not arrive in time.
+	TooSlow Reason = "too_slow"
+	// Evicted is a connection that was closed to make room.
+	Evicted Reason = "evicted"
+	// TooMany is a connection beyond the bound of its listener.
+	TooMany Reason = "too_many"
+)
+
+// Guard bounds the clients of all listeners of a process.
+type Guard struct {
+	limits      Limits
+	warn        func(msg string, pairs ...any)
+	begun       time.Time
+	bytes       tally.Gauge
+	connections tally.Gauge
+	refusals    map[Reason]tally.Counter
+
+	mu    sync.Mutex
+	table *Table
+	conns map[*Entry]*Conn
+	// released is closed when bytes are released, if anyone waits.
+	released chan struct{}
+	logged   map[Reason]*suppressed
+}
+
+// suppressed counts what has not been logged since the last line.
+type suppressed struct {
+	at    time.Time
+	count int
+}
+
+// NewGuard returns a guard. It counts in the scope and logs with warn at most one line
+// a second for each reason.
+func NewGuard(l Limits, scope tally.Scope, warn func(msg string, pairs ...any)) *Guard {
+	g := &Guard{
+		limits: l, warn: warn, begun: time.Now(), table: NewTable(l.FlightBytes()),
+		bytes: scope.Gauge("clients_bytes"), connections: scope.Gauge("clients_connections"), refusals: map[Reason]tally.Counter{},
+		conns: map[*Entry]*Conn{}, logged: map[Reason]*suppressed{},
+	}
+	for _, r := range []Reason{BodyTooLarge, NoRoom, TooSlow, Evicted, TooMany} {
+		g.refusals[r] = scope.Counter("clients_" + string(r))
+	}
+	return g
+}
+
+// Limits returns the limits.
+func (g *Guard) Limits() Limits { return g.limits }
+
+// Usage returns the bytes and the number of connections that clients hold.
+func (g *Guard) Usage() (bytes, connections int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Used(), g.table.Open()
+}
+
+func (g *Guard) now() time.Duration { return time.Since(g.begun) }
+
+// add registers a connection, or closes it and returns nil if there is no room.
+func (g *Guard) add(nc net.Conn, k Kind) *Conn {
+	for tries := 0; ; tries++ {
+		c, again := g.tryAdd(nc, k)
+		if c != nil {
+			return c
+		}
+		if !again || tries == maxAddTries {
+			g.refuse(TooMany, nc.RemoteAddr())
+			nc.Close()
+			return nil
+		}
+	}
+}
+
+// tryAdd registers a connection, or waits shortly for those that it closes to end.
+func (g *Guard) tryAdd(nc net.Conn, k Kind) (added *Conn, again bool) {
+	g.mu.Lock()
+	entry, victim, again := g.table.Add(k, g.limits.connections(k), g.now())
+	if entry != nil {
+		added = &Conn{Conn: nc, guard: g, entry: entry}
+		g.conns[entry] = added
+	}
+	evicted := g.takeVictims(victim)
+	wait := again && g.table.leaving > 0
+	released := g.awaitRelease(wait)
+	g.report()
+	g.mu.Unlock()
+	closeAll(evicted)
+	if wait {
+		select {
+		case <-released:
+		case <-time.After(addRetry):
+		}
+	}
+	return added, again
+}
+
+// awaitRelease returns a channel that is closed when bytes are released, or nil.
+func (g *Guard) awaitRelease(needed bool) <-chan struct{} {
+	if needed && g.released == nil {
+		g.released = make(chan struct{})
+	}
+	return g.released
+}
+
+// makeRoom closes a connection, since the process has no descriptors left.
+func (g *Guard) makeRoom() {
+	g.mu.Lock()
+	evicted := g.takeVictims(g.table.Evict(g.now()))
+	g.mu.Unlock()
+	closeAll(evicted)
+}
+
+func (g *Guard) remove(e *Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Remove(e)
+	delete(g.conns, e)
+	g.wake()
+	g.report()
+}
+
+func (g *Guard) move(e *Entry, p Phase) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Move(e, p, g.now())
+}
+
+func (g *Guard) release(e *Entry, n int) { g.change(e, -n) }
+
+// change adds n bytes, which the connection has taken already, or returns -n.
+func (g *Guard) change(e *Entry, n int) {
+	if n == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n > 0 {
+		g.table.Force(e, n)
+	} else {
+		g.table.Release(e, -n)
+		g.wake()
+	}
+	g.report()
+}
+
+// reserve waits up to reserveWait for n bytes. The error is ErrNoRoom, errTooLarge if n
+// is more than there is, or net.ErrClosed if the connection has been closed to make room.
+func (g *Guard) reserve(ctx context.Context, e *Entry, n int) error {
+	var timeout <-chan time.Time
+	if n > g.limits.FlightBytes()-openBytes-requestBytes {
+		return errTooLarge
+	}
+	for {
+		ok, released, closed := g.tryReserve(e, n)
+		switch {
+		case ok:
+			return nil
+		case closed:
+			return net.ErrClosed
+		case timeout == nil:
+			timeout = time.After(reserveWait)
+		}
+		select {
+		case <-released:
+		case <-time.After(reserveRetry):
+		case <-timeout:
+			g.refuse(NoRoom, g.addressOf(e))
+			return ErrNoRoom
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for memory")
+		}
+	}
+}
+
+func (g *Guard) tryReserve(e *Entry, n int) (ok bool, released <-chan struct{}, closed bool) {
+	g.mu.Lock()
+	ok, victims := g.table.Reserve(e, n, g.now())
+	evicted := g.takeVictims(victims...)
+	released, closed = g.awaitRelease(!ok), e.evicted
+	g.report()
+	g.mu.Unlock()
+	closeAll(evicted)
+	return ok, released, closed
+}
+
+// takeVictims returns the connections of evicted entries. The caller closes them
+// without the lock.
+func (g *Guard) takeVictims(entries ...*Entry) []*Conn {
+	var out []*Conn
+	for _, e := range entries {
+		if c := g.conns[e]; c != nil {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func closeAll(conns []*Conn) {
+	for _, c := range conns {
+		c.guard.refuse(Evicted, c.RemoteAddr())
+		// The owner of the connection sees the error and closes it again.
+		c.Conn.Close()
+	}
+}
+
+func (g *Guard) addressOf(e *Entry) net.Addr {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.conns[e]; c != nil {
+		return c.RemoteAddr()
+	}
+	return nil
+}
+
+// wake wakes those that wait for memory.
+func (g *Guard) wake() {
+	if g.released != nil {
+		close(g.released)
+		g.released = nil
+	}
+}
+
+func (g *Guard) report() {
+	g.bytes.Update(float64(g.table.Used()))
+	g.connections.Update(float64(g.table.Open()))
+}
+
+// refuse counts a refusal and logs it, if none was logged within logInterval.
+func (g *Guard) refuse(r Reason, from net.Addr) {
+	g.refusals[r].Inc(1)
+	g.mu.Lock()
+	s := g.logged[r]
+	if s == nil {
+		s = &suppressed{}
+		g.logged[r] = s
+	}
+	s.count++
+	count, used, open := s.count, g.table.Used(), g.table.Open()
+	due := time.Since(s.at) >= logInterval
+	if due {
+		s.at, s.count = time.Now(), 0
+	}
+	g.mu.Unlock()
+	if due {
+		g.warn("client refused", "reason", string(r), "count", count, "last", from, "bytes", used, "limit", g.limits.FlightBytes(), "connections", open)
+	}
+}
