Crowd: the addresses of the first design

Four listeners that entries, agents and callers of the first design use, with the four ways that take most.

A settings file of null with an override panicked; it is refused.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SAMPLES  := naem clip
 MODULES  := . agent beryl entry load prove sample/clip sample/naem stand
 
-.PHONY: help try test lint gen build bench proof slopes
+.PHONY: help try test lint gen build bench proof fuzz slopes
 
 help: ## list the targets
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/^([a-z]+):.*## /  \1\t/'
@@ -45,6 +45,12 @@
 	@go test -count=1 -timeout 10h ./member -histories $$(($(SEEDS) * 100))
 	@go test -count=1 ./fold -rapid.checks $$(($(SEEDS) * 10))
 
+FUZZTIME ?= 1m
+fuzz: ## search for input that a decoder cannot bear: make fuzz FUZZTIME=10s
+	@grep -ho --include=*_test.go -r '^func Fuzz[A-Za-z]*' -H . | sed 's/:func / /' | while read -r file target; do \
+		echo "$$file $$target"; \
+		(cd $$(dirname $$file) && go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) -parallel 2 .) || exit 1; done
+
 slopes: build ## measure what the parts cost, by size
 	@exec bin/prove slopes
 
--- a/conf/override.go
+++ b/conf/override.go
@@ -41,6 +41,9 @@
 	if err := json.Unmarshal(data, &top); err != nil {
 		return nil, errors.Newf("not a JSON object: %v", err)
 	}
+	if top == nil {
+		return nil, errors.New("not a JSON object: null")
+	}
 	for _, o := range overrides {
 		if o.value == "" {
 			continue
--- a/prove/crowd/ask_test.go
+++ b/prove/crowd/ask_test.go
@@ -63,6 +63,7 @@
 			return false, retryPause
 		}
 		q.Host = requestHost
+		q.Header.Set("Content-Type", "application/json")
 		a, err := client.Do(q)
 		if err != nil {
 			return false, retryPause
--- a/prove/crowd/calm_test.go
+++ b/prove/crowd/calm_test.go
@@ -27,7 +27,7 @@
 		{"Heartbeat", "agent", "control", func(a string) ask { return askHTTP("PUT", "http://"+a+"/instances/w", "", largeHeartbeat) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			p := newDeployment(t).start(tt.program, map[string]any{"memory_mb": instanceMemoryMB})
+			p := startBatch(t, tt.program, map[string]any{"memory_mb": instanceMemoryMB})
 			ask := tt.ask(p.addresses[tt.field])
 			for i := range calmRequests {
 				if !askTimes(t.Context(), ask, 1) {
--- a/prove/crowd/crowd_test.go
+++ b/prove/crowd/crowd_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -49,10 +50,22 @@
 	}
 }
 
+// The same holds for the programs of the first design, with the ways that take most.
+func TestCrowdOfFirstDesign(t *testing.T) {
+	for _, l := range firstListeners {
+		t.Run(l.name, func(t *testing.T) {
+			for _, w := range l.ways() {
+				if slices.Contains(firstWays, w.name) {
+					t.Run(w.name, func(t *testing.T) { play(t, l, w) })
+				}
+			}
+		})
+	}
+}
+
 // play sets a crowd on a listener of a new process.
 func play(t *testing.T, l listener, w way) {
-	d := newDeployment(t)
-	p := d.start(l.program, lowered)
+	p := l.start(t, l.program, lowered)
 	at := p.addresses[l.field]
 	ask := l.ask(at)
 	if !askUntil(t.Context(), ask) {
--- a/prove/crowd/deployment_test.go
+++ b/prove/crowd/deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"net"
 	"net/http"
 	"os"
@@ -26,7 +27,8 @@
 	tailBytes = 600
 )
 
-var builtFolder = filepath.Join("..", "..", "bin")
+// built is the folder with the programs of this build.
+var built = flag.String("bin", filepath.Join("..", "..", "bin"), "folder with the programs")
 
 // deployment is a process under attack, with a stand-in for the store in the test
 // process.
@@ -68,6 +70,11 @@
 	return &deployment{t: t, dir: t.TempDir(), store: l.Addr().String()}
 }
 
+// startBatch starts a program for batch work with the limits.
+func startBatch(t *testing.T, program string, limits map[string]any) *process {
+	return newDeployment(t).start(program, limits)
+}
+
 // start starts a program with the limits and waits until it is ready.
 func (d *deployment) start(program string, limits map[string]any) *process {
 	fields := map[string][]string{"entry": {"listen", "ready", "agents", "admin"}, "agent": {"control", "admin"}}[program]
@@ -86,7 +93,7 @@
 		err = os.WriteFile(path, body, 0o600)
 	}
 	if err == nil {
-		p.proc, err = stage.StartProc(filepath.Join(builtFolder, program), p.log, "batch", "-settings", path)
+		p.proc, err = stage.StartProc(filepath.Join(*built, program), p.log, "batch", "-settings", path)
 	}
 	if err != nil {
 		d.t.Fatal(err)
--- a/prove/crowd/listeners_test.go
+++ b/prove/crowd/listeners_test.go
@@ -1,11 +1,15 @@
 package crowd_test
 
-import "net/http"
+import (
+	"net/http"
+	"testing"
+)
 
 // listener is an address that a process listens on.
 type listener struct {
 	name string
-	// program is the process and field the setting with the address.
+	// start starts the process, and field is its setting with the address.
+	start          func(t *testing.T, program string, limits map[string]any) *process
 	program, field string
 	// ask returns the ordinary request to the listener at an address.
 	ask func(address string) ask
@@ -28,28 +32,28 @@
 
 var listeners = []listener{
 	{
-		name: "Listen", program: "entry", field: "listen",
+		name: "Listen", start: startBatch, program: "entry", field: "listen",
 		ask:    func(a string) ask { return askHTTP(http.MethodPost, "http://"+a+prefix, host, job) },
 		target: &target{method: http.MethodPost, host: host, path: prefix, read: prefix, maxBody: 1 << 20, json: manySteps},
 	},
 	{
-		name: "Ready", program: "entry", field: "ready",
+		name: "Ready", start: startBatch, program: "entry", field: "ready",
 		ask:    func(a string) ask { return askHTTP(http.MethodGet, "http://"+a+"/ready", "", nil) },
 		target: &target{method: http.MethodPost, host: "ready", path: "/ready", read: "/ready", maxBody: 1 << 20, json: manySteps},
 	},
-	{name: "Agents", program: "entry", field: "agents", ask: askLink},
+	{name: "Agents", start: startBatch, program: "entry", field: "agents", ask: askLink},
 	{
-		name: "EntryAdmin", program: "entry", field: "admin",
+		name: "EntryAdmin", start: startBatch, program: "entry", field: "admin",
 		ask:    func(a string) ask { return askHTTP(http.MethodGet, "http://"+a+"/healthz", "", nil) },
 		target: &target{method: http.MethodPost, host: "admin", path: "/records", read: "/metrics", maxBody: 16 << 10, json: manySteps},
 	},
 	{
-		name: "Control", program: "agent", field: "control",
+		name: "Control", start: startBatch, program: "agent", field: "control",
 		ask:    func(a string) ask { return askHTTP(http.MethodPut, "http://"+a+"/instances/w", "", heartbeat) },
 		target: &target{method: http.MethodPut, host: "control", path: "/instances/x", read: "/instances/x", maxBody: 4 << 20, json: manyLabels},
 	},
 	{
-		name: "AgentAdmin", program: "agent", field: "admin",
+		name: "AgentAdmin", start: startBatch, program: "agent", field: "admin",
 		ask:    func(a string) ask { return askHTTP(http.MethodGet, "http://"+a+"/healthz", "", nil) },
 		target: &target{method: http.MethodPost, host: "admin", path: "/records", read: "/metrics", maxBody: 16 << 10, json: manySteps},
 	},
--- a/prove/stage/stage.go
+++ b/prove/stage/stage.go
@@ -217,9 +217,12 @@
 	return nil
 }
 
+// LogPath returns the path of the file with the output of a process.
+func (s *Stage) LogPath(name string) string { return filepath.Join(s.dir, name+".log") }
+
 // Log returns the output of a process, for failure reports.
 func (s *Stage) Log(name string) string {
-	data, err := os.ReadFile(filepath.Join(s.dir, name+".log"))
+	data, err := os.ReadFile(s.LogPath(name))
 	if err != nil {
 		return err.Error()
 	}
