Guard: the connection that has held most for longest is closed; messages count by shape

A small request that waited for memory beside large bodies could become the oldest and lose its connection (seen once in TestStalledBodiesMakeRoom under the race detector); bytes times time decide now.

--- a/codec/shape.go
+++ b/codec/shape.go
@@ -9,48 +9,51 @@
 const (
 	// maxDepth bounds the nesting of a value, since the library decodes it recursively.
 	maxDepth = 64
-	// freeContainers and bytesPerContainer bound the arrays and maps of a message: each
-	// may become a struct, also where it takes a single byte.
-	freeContainers    = 4096
-	bytesPerContainer = 8
+	// structBytes is the memory that an array, a map or a nil may take when it is decoded:
+	// each may become a struct of a slice that grows, also where it takes a single byte.
+	structBytes = 256
+	// scalarValueBytes is the same for other values, beside the bytes of texts.
+	scalarValueBytes = 32
 )
 
-// checkShape returns the number of arrays and maps of a MessagePack value. It fails if
-// the value is not whole, or nested deeper than maxDepth.
-func checkShape(data []byte) (containers int, err error) {
+// DecodedBytes bounds the memory that a MessagePack value takes when it is decoded. It
+// fails if the value is not whole, or nested deeper than maxDepth.
+func DecodedBytes(data []byte) (decoded int, err error) {
 	// open holds how many values each container around the position still lacks.
 	open := make([]int, 1, maxDepth)
 	open[0] = 1
 	for at := 0; ; {
 		for open[len(open)-1] == 0 {
 			if open = open[:len(open)-1]; len(open) == 0 {
-				return containers, nil
+				return decoded + len(data), nil
 			}
 		}
 		open[len(open)-1]--
 		h, err := readHead(data[at:])
 		if err != nil {
-			return containers, errors.Wrapf(err, "at byte %d", at)
+			return decoded, errors.Wrapf(err, "at byte %d", at)
 		}
 		if at += h.bytes; at > len(data) {
-			return containers, errors.Newf("value ends beyond the %d bytes", len(data))
+			return decoded, errors.Newf("value ends beyond the %d bytes", len(data))
 		}
 		if !h.container {
+			decoded += scalarValueBytes
 			continue
 		}
-		containers++
+		decoded += structBytes
 		if h.values > len(data)-at {
-			return containers, errors.Newf("%d values at byte %d of %d", h.values, at, len(data))
+			return decoded, errors.Newf("%d values at byte %d of %d", h.values, at, len(data))
 		}
 		if len(open) == maxDepth {
-			return containers, errors.Newf("nested deeper than %d", maxDepth)
+			return decoded, errors.Newf("nested deeper than %d", maxDepth)
 		}
 		open = append(open, h.values)
 	}
 }
 
 // head describes a value by its first bytes: the length of the whole value, or that of
-// the head of a container with the number of values in it.
+// the head of a container with the number of values in it. A nil counts as a container of
+// none.
 type head struct {
 	bytes     int
 	container bool
@@ -64,7 +67,9 @@
 	}
 	c := data[0]
 	switch {
-	case c <= 0x7f || c >= 0xe0 || c == 0xc0 || c == 0xc2 || c == 0xc3:
+	case c == 0xc0:
+		return head{bytes: 1, container: true}, nil
+	case c <= 0x7f || c >= 0xe0 || c == 0xc2 || c == 0xc3:
 		return head{bytes: 1}, nil
 	case c <= 0x8f:
 		return head{bytes: 1, container: true, values: 2 * int(c&0x0f)}, nil
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -1,7 +1,6 @@
 package guard
 
 import (
-	"context"
 	"net"
 	"sync"
 	"time"
@@ -35,7 +34,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.reserved && c.entry.kind != Agents {
 		c.guard.move(c.entry, Reading)
-		if e := c.guard.reserve(context.Background(), c.entry, requestBytes); e != nil {
+		if e := c.guard.reserve(c.entry, requestBytes); e != nil {
 			c.refuse()
 			return 0, e
 		}
@@ -53,14 +52,14 @@
 	c.refused = true
 }
 
-// Reserve waits for n bytes of memory for a message, with what it decodes to. The
-// error is ErrNoRoom, or net.ErrClosed if the connection has been closed to make room.
+// Reserve waits for n bytes of memory. The error is ErrNoRoom, or net.ErrClosed if the
+// connection has been closed to make room.
 func (c *Conn) Reserve(n int) error {
-	return c.guard.reserve(context.Background(), c.entry, n*frameCost)
+	return c.guard.reserve(c.entry, n)
 }
 
 // Release returns what Reserve has reserved.
-func (c *Conn) Release(n int) { c.guard.release(c.entry, n*frameCost) }
+func (c *Conn) Release(n int) { c.guard.release(c.entry, n) }
 
 // Hold keeps the connection open also when room is short. It returns false if it has
 // been closed.
@@ -83,7 +82,7 @@
 
 // grow reserves bytes for the request, n in all.
 func (c *Conn) grow(n int) error {
-	if err := c.guard.reserve(context.Background(), c.entry, n-c.body); err != nil {
+	if err := c.guard.reserve(c.entry, n-c.body); err != nil {
 		return err
 	}
 	c.body = n
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -1,7 +1,6 @@
 package guard
 
 import (
-	"context"
 	"net"
 	"sync"
 	"time"
@@ -185,7 +184,7 @@
 
 // reserve waits up to reserveWait for n bytes. The error is ErrNoRoom, errTooLarge if n
 // is more than there is, or net.ErrClosed if the connection has been closed to make room.
-func (g *Guard) reserve(ctx context.Context, e *Entry, n int) error {
+func (g *Guard) reserve(e *Entry, n int) error {
 	var timeout <-chan time.Time
 	if n > g.limits.FlightBytes()-openBytes-requestBytes {
 		return errTooLarge
@@ -206,8 +205,6 @@
 		case <-timeout:
 			g.refuse(NoRoom, g.addressOf(e))
 			return ErrNoRoom
-		case <-ctx.Done():
-			return errors.Wrap(ctx.Err(), "wait for memory")
 		}
 	}
 }
--- a/guard/kind.go
+++ b/guard/kind.go
@@ -30,9 +30,6 @@
 	// add when they are decoded.
 	objectBytes  = 512
 	elementBytes = 48
-	// frameCost is the same for a message between agent and owner, whose encoding is
-	// denser.
-	frameCost = 16
 	// answerBytes is reserved for an answer to an operator, before its size is known,
 	// with what it is made from.
 	answerBytes = 512 << 10
--- a/guard/table.go
+++ b/guard/table.go
@@ -184,9 +184,10 @@
 	t.open[e.kind]--
 }
 
-// victim returns the connection whose end costs least: a request that has been
-// arriving for longest, for grace at least, then the connection that has been idle for
-// longest, then an answer that is not taken. Requests being handled and sessions stay.
+// victim returns the connection whose end costs least: a request that has been arriving
+// for grace at least, then an idle connection, then an answer that is not taken; among
+// these the one that has held most bytes for longest. Requests being handled and sessions
+// stay.
 func (t *Table) victim(now time.Duration, eligible func(*Entry) bool, grace time.Duration) *Entry {
 	var best *Entry
 	bestRank := 0
@@ -195,13 +196,18 @@
 		if rank == 0 || e.evicted || !eligible(e) {
 			continue
 		}
-		if best == nil || rank < bestRank || rank == bestRank && e.since < best.since {
+		if best == nil || rank < bestRank || rank == bestRank && e.held(now) > best.held(now) {
 			best, bestRank = e, rank
 		}
 	}
 	return best
 }
 
+// held returns the bytes times the seconds that the connection has been in its phase.
+func (e *Entry) held(now time.Duration) float64 {
+	return float64(e.bytes) * (now - e.since).Seconds()
+}
+
 // rank returns the order in which connections are closed, from 1, or 0 for one that
 // stays.
 func (e *Entry) rank(now, grace time.Duration) int {
--- a/guard/table_test.go
+++ b/guard/table_test.go
@@ -73,7 +73,7 @@
 }
 
 // Answers a crowd of slow bodies beside callers with kept connections: the slowest body
-// ends first, and then connections that say nothing.
+// ends first, and kept connections last.
 func TestSlowestIsClosedFirst(t *testing.T) {
 	table := NewTable(3*openBytes + 100)
 	idle, _, _ := table.Add(Callers, 9, 0)
@@ -113,3 +113,18 @@
 	// true
 	// true
 }
+
+// Answers a crowd of large bodies that wait for room: a small request that waits beside
+// them keeps its place.
+func TestLargeStalledBodyIsClosedBeforeSmallOlderRequest(t *testing.T) {
+	table := NewTable(20 * openBytes)
+	small, _, _ := table.Add(Callers, 9, 0)
+	table.Move(small, Reading, 0)
+	large, _, _ := table.Add(Callers, 9, 0)
+	table.Move(large, Reading, time.Second)
+	table.Reserve(large, 17*openBytes, time.Second)
+	_, victims := table.Reserve(small, 2*openBytes, 2*time.Second)
+	if len(victims) != 1 || victims[0] != large {
+		t.Errorf("closed %v", victims)
+	}
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -33,9 +33,9 @@
 var ErrTooLarge = errors.New("message exceeds a frame")
 
 // Memory admits the bytes of messages. A connection that implements it is asked before
-// a buffer is taken.
+// they are taken.
 type Memory interface {
-	// Reserve waits for the memory of n bytes of a message, and of what they decode to.
+	// Reserve waits for n bytes.
 	Reserve(n int) error
 	// Release returns it.
 	Release(n int)
@@ -102,10 +102,30 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "receive frame body")
 	}
-	m, err := codec.DecodeMessage[In](body)
+	if err := c.reserveDecoded(body); err != nil {
+		return nil, errors.Wrap(err, "decode message")
+	}
+	m, err := codec.Decode[In](body)
 	return &m, err
 }
 
+// reserveDecoded reserves what a message takes when it is decoded.
+func (c *Conn[In, Out]) reserveDecoded(body []byte) error {
+	memory, limited := c.conn.(Memory)
+	if !limited {
+		return nil
+	}
+	n, err := codec.DecodedBytes(body)
+	if err != nil {
+		return err
+	}
+	if err := memory.Reserve(n); err != nil {
+		return err
+	}
+	c.held += n
+	return nil
+}
+
 // receiveBody reads n bytes into a buffer that grows as they arrive. Their memory stays
 // reserved until the next message.
 func (c *Conn[In, Out]) receiveBody(n int) ([]byte, error) {
@@ -116,11 +136,12 @@
 	}
 	var body []byte
 	for size := min(n, firstFrameBytes); ; size = min(n, 2*size) {
-		if limited {
-			if err := memory.Reserve(size - c.held); err != nil {
+		// The buffer before stays until its bytes are copied.
+		if need := 2 * size; limited {
+			if err := memory.Reserve(need - c.held); err != nil {
 				return nil, err
 			}
-			c.held = size
+			c.held = need
 		}
 		read := len(body)
 		body = append(make([]byte, 0, size), body...)[:size]
