--- a/prove/crowd/crowd_test.go
+++ b/prove/crowd/crowd_test.go
@@ -63,9 +63,38 @@
 	}
 }
 
+// A small instance allows larger requests than the lowered limits do, so that fewer of
+// them take its memory.
+func TestCrowdOnSmallInstance(t *testing.T) {
+	limits := map[string]any{"memory_mb": instanceMemoryMB, "body_ms": 500}
+	for _, l := range listeners {
+		if !slices.Contains(smallListeners, l.name) {
+			continue
+		}
+		t.Run(l.name, func(t *testing.T) {
+			for _, w := range l.ways() {
+				if slices.Contains(largeWays, w.name) {
+					t.Run(w.name, func(t *testing.T) { playWith(t, l, w, limits, instanceMemoryMB) })
+				}
+			}
+		})
+	}
+}
+
+var (
+	smallListeners = []string{"Listen", "Agents", "Control"}
+	largeWays      = []string{"ChunkedOverLimit", "HeldBodies", "HugeJSON", "DeepJSON", "HeldFrames", "EndlessBytes", "HugeMessage"}
+)
+
 // play sets a crowd on a listener of a new process.
 func play(t *testing.T, l listener, w way) {
-	p := l.start(t, l.program, lowered)
+	playWith(t, l, w, lowered, memoryMB)
+}
+
+// playWith sets a crowd on a listener of a new process with limits, of which one is that
+// of its memory.
+func playWith(t *testing.T, l listener, w way, limits map[string]any, memoryMB int64) {
+	p := l.start(t, l.program, limits)
 	at := p.addresses[l.field]
 	ask := l.ask(at)
 	if !askUntil(t.Context(), ask) {
