--- a/shard/forecast.go
+++ b/shard/forecast.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		s.taskTime = sc.stepTime(s)
-		work, longest := s.left()
+		work, longest := s.left(now)
 		f.work += s.onCPU(work)
 		f.total += s.onCPU(s.taskTime * time.Duration(len(s.tasks)))
 		for _, a := range s.After {
@@ -115,7 +115,7 @@
 
 // left returns the run time left of all tasks of a step, and of the task that has
 // most left.
-func (s *step) left() (sum, longest time.Duration) {
+func (s *step) left(now time.Time) (sum, longest time.Duration) {
 	if s.unfinished == 0 {
 		return 0, 0
 	}
@@ -126,7 +126,7 @@
 		left := s.taskTime
 		for _, r := range t.runs {
 			if !r.stopping {
-				left = min(left, s.taskTime*time.Duration(100-min(r.percent, 100))/100)
+				left = min(left, r.left(s.taskTime, now))
 			}
 		}
 		sum += left
@@ -135,6 +135,13 @@
 	return sum, longest
 }
 
+// left returns the run time that a run has left of its task's, by the progress last
+// reported and the time since.
+func (r *run) left(taskTime time.Duration, now time.Time) time.Duration {
+	reported := taskTime * time.Duration(100-min(r.percent, 100)) / 100
+	return max(reported-r.workedSinceList(now), 0)
+}
+
 // onCPU returns the CPU time of run time of a step's tasks, on one processor.
 func (s *step) onCPU(d time.Duration) time.Duration {
 	return d * time.Duration(max(s.Size.CPUMilli, 1)) / 1000
