--- a/prove/soak/deployment_test.go
+++ b/prove/soak/deployment_test.go
@@ -46,8 +46,11 @@
 var builtFolder = filepath.Join("..", "..", "bin")
 
 // folders are the folders that the programs of a deployment are started from at
-// first.
-type folders struct{ entry, agent string }
+// first. admission switches admission on, which an earlier build may not know.
+type folders struct {
+	entry, agent string
+	admission    bool
+}
 
 // deployment is a complete system of real processes, with stand-ins for the store
 // and the workers.
@@ -118,7 +121,7 @@
 	d.configure()
 	storeAddress := d.serve(httpd.StoreHandler(d.store))
 	for i := range entries {
-		d.addEntry(i, d.proxy(storeAddress), from.entry)
+		d.addEntry(i, d.proxy(storeAddress), from)
 	}
 	for i := range agents {
 		d.addAgent(i, d.proxy(storeAddress), from.agent)
@@ -179,13 +182,17 @@
 	return out
 }
 
-func (d *deployment) addEntry(i int, storeAt, folder string) {
+func (d *deployment) addEntry(i int, storeAt string, from folders) {
 	a := d.ports(4)
-	p := &process{d: d, program: "entry", name: fmt.Sprintf("entry-%d", i), listen: a[0], ready: a[1], admin: a[3], folder: folder}
-	p.write(map[string]any{
+	p := &process{d: d, program: "entry", name: fmt.Sprintf("entry-%d", i), listen: a[0], ready: a[1], admin: a[3], folder: from.entry}
+	settings := map[string]any{
 		"name": p.name, "domain": "d", "listen": a[0], "ready": a[1], "agents": a[2], "admin": a[3],
 		"reach_agents": d.proxy(a[2]), "store": storeAt, "grace_ms": 500,
-	})
+	}
+	if from.admission {
+		settings["owner"] = map[string]any{"admission": map[string]any{"mode": "on", "margin": 1, "worthless_after": 1}}
+	}
+	p.write(settings)
 	d.entries = append(d.entries, p)
 	p.start()
 }
--- a/prove/soak/soak_test.go
+++ b/prove/soak/soak_test.go
@@ -26,7 +26,7 @@
 	for seed := *first; seed < *first+*seeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 17))
-			d := newDeployment(t, 3, 5, random, folders{entry: builtFolder, agent: builtFolder})
+			d := newDeployment(t, 3, 5, random, folders{entry: builtFolder, agent: builtFolder, admission: seed%2 == 0})
 			t.Logf("logs in %s", d.dir)
 			d.crashingShare = 0.03
 			d.awaitReady()
