--- a/prove/crowd/deployment_test.go
+++ b/prove/crowd/deployment_test.go
@@ -36,6 +36,8 @@
 	t     *testing.T
 	dir   string
 	store string
+	// folder holds the programs.
+	folder string
 }
 
 // process is the process under attack.
@@ -67,7 +69,7 @@
 	// Its end is not awaited, since calls of the killed process may wait for records.
 	common.ServeFastHTTP(ctx, l, httpd.StoreHandler(s), storeBody)
 	t.Cleanup(cancel)
-	return &deployment{t: t, dir: t.TempDir(), store: l.Addr().String()}
+	return &deployment{t: t, dir: t.TempDir(), store: l.Addr().String(), folder: *built}
 }
 
 // startBatch starts a program for batch work with the limits.
@@ -82,7 +84,10 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	settings := map[string]any{"name": program, "domain": "d", "store": d.store, "limits": limits}
+	settings := map[string]any{"name": program, "domain": "d", "store": d.store}
+	if limits != nil {
+		settings["limits"] = limits
+	}
 	p := &process{log: filepath.Join(d.dir, program+".log"), addresses: map[string]string{}}
 	for i, f := range fields {
 		settings[f], p.addresses[f] = free[i], free[i]
@@ -93,7 +98,7 @@
 		err = os.WriteFile(path, body, 0o600)
 	}
 	if err == nil {
-		p.proc, err = stage.StartProc(filepath.Join(*built, program), p.log, "batch", "-settings", path)
+		p.proc, err = stage.StartProc(filepath.Join(d.folder, program), p.log, "batch", "-settings", path)
 	}
 	if err != nil {
 		d.t.Fatal(err)
