--- a/prove/crowd/crowd_test.go
+++ b/prove/crowd/crowd_test.go
@@ -59,6 +59,11 @@
 					t.Run(w.name, func(t *testing.T) { play(t, l, w) })
 				}
 			}
+			if l.isRPC {
+				for _, w := range l.target.rpcWays() {
+					t.Run(w.name, func(t *testing.T) { play(t, l, w) })
+				}
+			}
 		})
 	}
 }
@@ -153,8 +158,8 @@
 	// script is what a member does with a connection. It calls inPlace when it has
 	// sent all that it sends at once.
 	script func(ctx context.Context, c *connection, inPlace func()) error
-	// deaf members do not read answers.
-	deaf bool
+	// deaf members do not read answers; those of some scripts read them themselves.
+	deaf, readsItself bool
 }
 
 // enter sends in all members and returns when they are in position, or after
--- a/prove/crowd/first_test.go
+++ b/prove/crowd/first_test.go
@@ -23,7 +23,7 @@
 	{
 		name: "EntryControl", start: startFirst, program: "entry-1", field: "control",
 		ask:    func(a string) ask { return askHTTP(http.MethodPost, "http://"+a+"/wire.Entry/Sync", "", emptyMessage) },
-		target: &target{method: http.MethodPost, host: "entry", path: "/wire.Entry/Report", read: "/wire.Entry/Sync", maxBody: 1 << 20},
+		target: &target{method: http.MethodPost, host: "entry", path: "/wire.Entry/Report", read: "/wire.Entry/Sync", maxBody: 1 << 20}, isRPC: true,
 	},
 	{
 		name: "AgentRequests", start: startFirst, program: "worker-1", field: "listen",
@@ -33,7 +33,7 @@
 	{
 		name: "AgentControl", start: startFirst, program: "worker-1", field: "control",
 		ask:    func(a string) ask { return askHTTP(http.MethodPost, "http://"+a+"/wire.Agent/Story", "", emptyMessage) },
-		target: &target{method: http.MethodPost, host: "agent", path: "/wire.Agent/Run", read: "/wire.Agent/Story", maxBody: 1 << 20},
+		target: &target{method: http.MethodPost, host: "agent", path: "/wire.Agent/Run", read: "/wire.Agent/Story", maxBody: 1 << 20}, isRPC: true,
 	},
 }
 
--- a/prove/crowd/listeners_test.go
+++ b/prove/crowd/listeners_test.go
@@ -15,6 +15,8 @@
 	ask func(address string) ask
 	// target is what the crowds send to; it is not set for the protocol of agents.
 	target *target
+	// isRPC tells that the listener decompresses bodies and speaks HTTP/2.
+	isRPC bool
 }
 
 // target is where a crowd sends HTTP requests.
--- a/prove/crowd/member_test.go
+++ b/prove/crowd/member_test.go
@@ -57,9 +57,11 @@
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 	closed, answered := make(chan struct{}), make(chan struct{})
-	if m.deaf {
-		// What it sends may block for as long as the answers are not taken.
-		inPlace()
+	if m.deaf || m.readsItself {
+		if m.deaf {
+			// What it sends may block for as long as the answers are not taken.
+			inPlace()
+		}
 		go func() { <-ctx.Done(); close(closed) }()
 	} else {
 		go func() {
