--- a/shard/colocation.go
+++ b/shard/colocation.go
@@ -208,10 +208,7 @@
 // speedUpFills raises the pace of slowed fills as far as the slack budgets
 // allow.
 func (sc *Scheduler) speedUpFills(w *worker, now time.Time) {
-	for f := range w.runs {
-		if !f.task.step.Fills || f.pace >= 100 || f.stopping {
-			continue
-		}
+	for _, f := range sc.slowedFills(w) {
 		others := &candidate{worker: w, allocation: w.allocation(now)}
 		others.addFill(f.task.step.Image, -f.task.step.fillCPU(f.pace))
 		if pace := sc.sustainablePace(others, f.task.step); pace >= f.pace+minPaceIncrease || pace >= 100 {
--- a/shard/job.go
+++ b/shard/job.go
@@ -59,9 +59,10 @@
 	// by forecast.
 	criticalPath time.Duration
 	forecast     forecast
-	// rank is the place among the occurrences of the last Plan, and reported the
-	// worst prospect that was reported.
+	// rank and prospect are those of the last Plan, and reported is the worst prospect
+	// that was reported.
 	rank     int
+	prospect triage.Prospect
 	reported triage.Prospect
 }
 
--- a/shard/order_test.go
+++ b/shard/order_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/triage"
 )
 
@@ -85,3 +86,42 @@
 		f.expectState("job"+string(rune('a'+i)), "completed")
 	}
 }
+
+// Two fills disturb a serving task alike. The one whose job no longer counts is slowed
+// down, since that costs its caller nothing.
+func TestFillOfExpiredJobIsSlowedFirst(t *testing.T) {
+	h := newHarness(t)
+	h.setOrder(triage.Value)
+	h.submit("old", "plans", fillStep("audit", 1))
+	h.advance(time.Minute)
+	h.connect("n1")
+	h.submit("s", "watches", servingStep("desk"))
+	orders := h.expectStarts(h.runCycle(), 2)
+	serving, fills := orders[0], orders[1:]
+	h.submit("fresh", "plans", fillStep("audit", 1))
+	tail := int64(3)
+	for percent := 10; percent < 80; percent += 5 {
+		h.advance(500 * time.Millisecond)
+		m := &link.AgentMessage{Running: []spar.Running{{Task: serving.Task, Run: serving.Run, Percent: 100, Measurement: tail}}}
+		for _, f := range fills {
+			m.Running = append(m.Running, spar.Running{Task: f.Task, Run: f.Run, Percent: percent, Measurement: 4000})
+		}
+		h.report("n1", m)
+		out := h.runCycle()["n1"]
+		if out == nil {
+			continue
+		}
+		for _, p := range out.Paces {
+			if p.Task.Job != "old" {
+				t.Errorf("the fill of job %s is slowed down to %d %% at first", p.Task.Job, p.Percent)
+			}
+		}
+		if len(out.Paces) > 0 {
+			return
+		}
+		if fills = append(fills, out.Starts...); len(fills) == 2 {
+			tail = 21
+		}
+	}
+	t.Fatalf("no fill of %d is slowed down", len(fills))
+}
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -120,6 +120,8 @@
 		return minStartPace
 	case s.isLate(now.Add(-maxWaitPastObjective)) && !sc.hasRuns(s.job):
 		return 0
+	case sc.leavesSlack(s):
+		return minStartPace
 	}
 	return minLatePace
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -18,7 +18,7 @@
 	sc.clearSurvivors()
 	sc.trials = sc.freeTrialSlots(now)
 	sc.startLimit = sc.countStarts(now)
-	short := map[triage.Pool]bool{}
+	short := map[triage.Pool]triage.Prospect{}
 	for _, q := range queue {
 		if sc.placeStep(q.step, pool, now) {
 			continue
@@ -27,7 +27,9 @@
 			sc.stepsAwaitingAdvice = append(sc.stepsAwaitingAdvice, q.step)
 		}
 		if !q.Standing && !sc.startLimit.full() {
-			short[q.pool()] = true
+			if best, known := short[q.pool()]; !known || q.occurrence.prospect < best {
+				short[q.pool()] = q.occurrence.prospect
+			}
 		}
 	}
 	if sc.limits.Order.LearnsRunTimes() {
--- a/shard/poolroom.go
+++ b/shard/poolroom.go
@@ -14,8 +14,10 @@
 type poolRoom struct {
 	processors float64
 	at         time.Time
-	// short is set while more waits than there is room for.
-	short bool
+	// short is set while more waits than there is room for, and waiting is the best
+	// prospect of what waits.
+	short   bool
+	waiting triage.Prospect
 }
 
 // pool is the room that a step draws on.
@@ -23,9 +25,9 @@
 	return triage.Pool{Service: s.job.policy.Service, Fills: s.Fills}
 }
 
-// observeRoom updates the room of all pools after a plan that found no room for some
-// steps of those in short.
-func (sc *Scheduler) observeRoom(short map[triage.Pool]bool, now time.Time) {
+// observeRoom updates the room of all pools after a plan. short holds those without room
+// for some steps, with the best prospect of these.
+func (sc *Scheduler) observeRoom(short map[triage.Pool]triage.Prospect, now time.Time) {
 	used := map[triage.Pool]float64{}
 	for _, c := range sc.pool {
 		used[triage.Pool{Service: c.info.Service}] += float64(c.reserved.CPUMilli-c.servingCPU) / 1000
@@ -39,7 +41,8 @@
 		} else {
 			room.processors = max(room.processors, processors)
 		}
-		room.short, room.at = short[pool], now
+		room.waiting, room.short = short[pool]
+		room.at = now
 		sc.poolRooms[pool] = room
 	}
 }
@@ -57,3 +60,10 @@
 	}
 	return out
 }
+
+// leavesSlack reports whether a fill of a step has to leave slack that is too little for
+// full pace to others, which wait and gain more from completion.
+func (sc *Scheduler) leavesSlack(s *step) bool {
+	room := sc.poolRooms[s.pool()]
+	return room.short && room.waiting < s.occurrence.prospect
+}
--- a/shard/rank.go
+++ b/shard/rank.go
@@ -29,7 +29,7 @@
 	room := sc.knownRoom()
 	for i, r := range triage.Order(jobs, room) {
 		o := ranked[r.Index]
-		o.rank = i
+		o.rank, o.prospect = i, r.Prospect
 		sc.reportProspect(o, &jobs[r.Index], r.Prospect, room)
 	}
 	slices.SortFunc(queue, func(a, b queuedStep) int {
@@ -88,3 +88,21 @@
 	ref := spar.StepRef{Job: j.ID, Occur: o.number}
 	sc.onEvent(Event{Name: "job " + p.String(), Task: ref.String(), Queue: o.steps[0].job.Queue, Reason: j.Describe(room)})
 }
+
+// compareGain orders runs by what the completion of their jobs still gains, least first.
+func (sc *Scheduler) compareGain(a, b *run) int {
+	return int(b.task.step.occurrence.prospect - a.task.step.occurrence.prospect)
+}
+
+// slowedFills returns the fills on a worker that are paced down, those first whose jobs
+// gain most from completion.
+func (sc *Scheduler) slowedFills(w *worker) []*run {
+	var out []*run
+	for r := range w.runs {
+		if r.task.step.Fills && r.pace < 100 && !r.stopping {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *run) int { return sc.compareGain(b, a) })
+	return out
+}
--- a/shard/relief.go
+++ b/shard/relief.go
@@ -34,7 +34,8 @@
 }
 
 // fillsByCost returns the fills beside a serving task, ordered by the slack
-// that they take from it, highest first, and their total.
+// that they take from it, highest first, and their total. Those whose jobs gain
+// least from completion go before the others.
 func (sc *Scheduler) fillsByCost(r *run) ([]*run, float64) {
 	var fills []*run
 	var total float64
@@ -45,6 +46,9 @@
 		}
 	}
 	slices.SortFunc(fills, func(a, b *run) int {
+		if d := sc.compareGain(a, b); d != 0 {
+			return d
+		}
 		if d := cmp.Compare(sc.slackCost(r, b), sc.slackCost(r, a)); d != 0 {
 			return d
 		}
