--- a/shard/forecast.go
+++ b/shard/forecast.go
@@ -13,8 +13,6 @@
 	// work is the CPU time left and total that of the whole occurrence, as time on
 	// one processor; path is the longest chain left.
 	work, total, path time.Duration
-	// idleSince is since when nothing of it has run; zero if something runs.
-	idleSince time.Time
 }
 
 // maxForecastAge is the age up to which a forecast is used. Agents report the
@@ -92,7 +90,7 @@
 	if f := &o.forecast; !f.at.IsZero() && now.Sub(f.at) < maxForecastAge {
 		return
 	}
-	f := forecast{at: now, idleSince: o.idleSince()}
+	f := forecast{at: now}
 	paths, left := make([]time.Duration, len(o.steps)), make([]time.Duration, len(o.steps))
 	o.criticalPath = 0
 	for i, s := range o.steps {
@@ -146,20 +144,3 @@
 func (s *step) onCPU(d time.Duration) time.Duration {
 	return d * time.Duration(max(s.Size.CPUMilli, 1)) / 1000
 }
-
-// idleSince returns since when nothing of an occurrence has run, or zero if something
-// runs.
-func (o *occurrence) idleSince() time.Time {
-	since := o.due
-	for _, s := range o.steps {
-		for _, t := range s.tasks {
-			if len(t.runs) > 0 {
-				return time.Time{}
-			}
-			if t.idleSince.After(since) {
-				since = t.idleSince
-			}
-		}
-	}
-	return since
-}
--- a/shard/rank.go
+++ b/shard/rank.go
@@ -52,15 +52,11 @@
 func (s *step) triageJob(now time.Time) triage.Job {
 	o, j := s.occurrence, s.job
 	due, objective := o.due.Sub(now), s.objective()
-	out := triage.Job{
+	return triage.Job{
 		Priority: j.policy.Priority, Pool: s.pool(), ID: j.ID, Age: now.Sub(j.firstSeen),
 		Due: due + objective, Last: due + expiryFactor*objective,
 		Path: o.forecast.path, Work: o.forecast.work, Worth: o.forecast.total.Seconds(),
 	}
-	if !o.forecast.idleSince.IsZero() {
-		out.Waited = now.Sub(o.forecast.idleSince)
-	}
-	return out
 }
 
 // weighByWork adds the same worth to each job of a priority, the mean of their work: a
--- a/triage/describe.go
+++ b/triage/describe.go
@@ -8,9 +8,6 @@
 // Describe returns the inputs that decide over a job, for a log.
 func (j *Job) Describe(room Room) string {
 	out := fmt.Sprintf("objective in %s, counts for %s, chain %s, work %s, worth %.1f", tenths(j.Due), tenths(j.Last), tenths(j.Path), tenths(j.Work), j.Worth)
-	if j.Waited > 0 {
-		out += ", nothing ran for " + tenths(j.Waited)
-	}
 	if r, ok := room[j.Pool]; ok {
 		out += fmt.Sprintf(", too little room: %.0f processors", r)
 	}
--- a/triage/job.go
+++ b/triage/job.go
@@ -19,8 +19,6 @@
 	// Worth is what completion by Due is worth to the caller, in any unit that is
 	// the same for all jobs of a priority.
 	Worth float64
-	// Waited is for how long nothing of the job has run.
-	Waited time.Duration
 	// Age and then ID order jobs between which nothing else decides.
 	Age time.Duration
 	ID  string
@@ -73,10 +71,9 @@
 	return max(j.Worth, 0) / max(j.Work, leastWork).Seconds()
 }
 
-// isStarved reports whether a job goes ahead of the others of its priority,
-// since nothing of it has run for MaxWait and no gain is left to wait for.
-func (j Job) isStarved() bool { return j.Last <= 0 && j.Waited >= MaxWait }
+// isStarved reports whether a job goes ahead of the others of its priority.
+func (j Job) isStarved() bool { return j.Last <= -MaxWait }
 
-// MaxWait is how long a job past all gain may have nothing running before it
-// goes ahead of the others of its priority, one job at a time.
+// MaxWait is how long after the time from which its completion is worth nothing a job
+// goes ahead of the others of its priority until it completes, one job at a time.
 const MaxWait = 15 * time.Second
--- a/triage/order.go
+++ b/triage/order.go
@@ -53,8 +53,7 @@
 	return compareAge(x, y)
 }
 
-// markStarved marks the job of each priority that has waited longest, if it has
-// waited for too long.
+// markStarved marks the job of each priority that has waited for too long, and longest.
 func markStarved(jobs []Job, ranks []Rank) {
 	longest := map[int]int{}
 	for i := range jobs {
@@ -62,7 +61,7 @@
 			continue
 		}
 		p := jobs[i].Priority
-		if k, ok := longest[p]; !ok || compareWaited(&jobs[i], &jobs[k]) < 0 {
+		if k, known := longest[p]; !known || compareLast(&jobs[i], &jobs[k]) < 0 {
 			longest[p] = i
 		}
 	}
@@ -71,8 +70,8 @@
 	}
 }
 
-func compareWaited(x, y *Job) int {
-	return cmp.Or(cmp.Compare(y.Waited, x.Waited), compareAge(x, y))
+func compareLast(x, y *Job) int {
+	return cmp.Or(cmp.Compare(x.Last, y.Last), compareAge(x, y))
 }
 
 // setBack is the method of Moore and Hodgson with weights: jobs are added by their
