--- a/shard/rank.go
+++ b/shard/rank.go
@@ -29,7 +29,7 @@
 	room := sc.knownRoom()
 	for i, r := range triage.Order(jobs, room) {
 		o := ranked[r.Index]
-		o.rank = i
+		o.rank, o.prospect = i, r.Prospect
 		sc.reportProspect(o, &jobs[r.Index], r.Prospect, room)
 	}
 	slices.SortFunc(queue, func(a, b queuedStep) int {
@@ -52,15 +52,11 @@
 func (s *step) triageJob(now time.Time) triage.Job {
 	o, j := s.occurrence, s.job
 	due, objective := o.due.Sub(now), s.objective()
-	out := triage.Job{
+	return triage.Job{
 		Priority: j.policy.Priority, Pool: s.pool(), ID: j.ID, Age: now.Sub(j.firstSeen),
 		Due: due + objective, Last: due + expiryFactor*objective,
 		Path: o.forecast.path, Work: o.forecast.work, Worth: o.forecast.total.Seconds(),
 	}
-	if !o.forecast.idleSince.IsZero() {
-		out.Waited = now.Sub(o.forecast.idleSince)
-	}
-	return out
 }
 
 // weighByWork adds the same worth to each job of a priority, the mean of their work: a
@@ -88,3 +84,21 @@
 	ref := spar.StepRef{Job: j.ID, Occur: o.number}
 	sc.onEvent(Event{Name: "job " + p.String(), Task: ref.String(), Queue: o.steps[0].job.Queue, Reason: j.Describe(room)})
 }
+
+// compareGain orders runs by what the completion of their jobs still gains, least first.
+func (sc *Scheduler) compareGain(a, b *run) int {
+	return int(b.task.step.occurrence.prospect - a.task.step.occurrence.prospect)
+}
+
+// slowedFills returns the fills on a worker that are paced down, those first whose jobs
+// gain most from completion.
+func (sc *Scheduler) slowedFills(w *worker) []*run {
+	var out []*run
+	for r := range w.runs {
+		if r.task.step.Fills && r.pace < 100 && !r.stopping {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *run) int { return sc.compareGain(b, a) })
+	return out
+}
