--- a/guard/conn.go
+++ b/guard/conn.go
@@ -70,18 +70,21 @@
 
 // end notes that the request has been answered.
 func (c *Conn) end() {
-	c.resize(0)
-	c.guard.move(c.entry, Idle)
+	c.guard.finish(c.entry, c.body)
+	c.body = 0
 }
 
-// resize changes the bytes of the request to n, which it has taken already.
-func (c *Conn) resize(n int) {
-	c.guard.change(c.entry, n-c.body)
+// answer notes that the request has been handled and its answer takes n bytes.
+func (c *Conn) answer(n int) {
+	c.guard.answer(c.entry, n-c.body)
 	c.body = n
 }
 
 // grow reserves bytes for the request, n in all.
 func (c *Conn) grow(n int) error {
+	if n == c.body {
+		return nil
+	}
 	if err := c.guard.reserve(c.entry, n-c.body); err != nil {
 		return err
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -25,6 +25,9 @@
 	// addRetry and maxAddTries bound how long a new connection waits for others to end.
 	addRetry    = 10 * time.Millisecond
 	maxAddTries = 5
+	// reportInterval is the least time between two updates of the gauges, beside those when
+	// a connection opens or ends.
+	reportInterval = 100 * time.Millisecond
 	// logInterval is the least time between two log lines with the same reason.
 	logInterval = time.Second
 )
@@ -58,6 +61,8 @@
 	mu    sync.Mutex
 	table *Table
 	conns map[*Entry]*Conn
+	// reported is when the gauges were updated.
+	reported time.Duration
 	// released is closed when bytes are released, if anyone waits.
 	released chan struct{}
 	logged   map[Reason]*suppressed
@@ -164,22 +169,38 @@
 	return g.table.Move(e, p, g.now())
 }
 
-func (g *Guard) release(e *Entry, n int) { g.change(e, -n) }
+func (g *Guard) release(e *Entry, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Release(e, n)
+	g.wake()
+}
 
-// change adds n bytes, which the connection has taken already, or returns -n.
-func (g *Guard) change(e *Entry, n int) {
-	if n == 0 {
-		return
+// finish notes that a request has been answered, and returns the n bytes that it held.
+func (g *Guard) finish(e *Entry, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.table.Release(e, n)
+	g.table.Move(e, Idle, now)
+	g.wake()
+	if now-g.reported >= reportInterval {
+		g.report()
 	}
+}
+
+// answer notes that a request has been handled, and that its answer takes n bytes more
+// than the request.
+func (g *Guard) answer(e *Entry, n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if n > 0 {
 		g.table.Force(e, n)
 	} else {
 		g.table.Release(e, -n)
-		g.wake()
 	}
-	g.report()
+	g.table.Move(e, Answering, g.now())
+	g.wake()
 }
 
 // reserve waits up to reserveWait for n bytes. The error is ErrNoRoom, errTooLarge if n
@@ -214,7 +235,6 @@
 	ok, victims := g.table.Reserve(e, n, g.now())
 	evicted := g.takeVictims(victims...)
 	released, closed = g.awaitRelease(!ok), e.evicted
-	g.report()
 	g.mu.Unlock()
 	closeAll(evicted)
 	return ok, released, closed
@@ -258,6 +278,7 @@
 }
 
 func (g *Guard) report() {
+	g.reported = g.now()
 	g.bytes.Update(float64(g.table.Used()))
 	g.connections.Update(float64(g.table.Open()))
 }
--- a/guard/http.go
+++ b/guard/http.go
@@ -107,8 +107,7 @@
 			return
 		}
 		h(r)
-		c.resize(len(r.Response.Body()) * answerCost)
-		g.move(c.entry, Answering)
+		c.answer(len(r.Response.Body()) * answerCost)
 	}
 }
 
@@ -122,12 +121,15 @@
 	if size < 0 {
 		size = maxBody
 	}
-	if err := c.SetReadDeadline(time.Now().Add(c.guard.limits.Body())); err != nil {
-		return err
-	}
 	stream := r.RequestBodyStream()
 	var buffer []byte
-	for {
+	for reads := 0; ; reads++ {
+		// The first two reads return what came with the header.
+		if reads == 2 {
+			if err := c.SetReadDeadline(time.Now().Add(c.guard.limits.Body())); err != nil {
+				return err
+			}
+		}
 		if len(buffer) == cap(buffer) {
 			n := min(max(2*cap(buffer), firstBodyBytes), size)
 			if n == len(buffer) {
