--- a/prove/crowd/crowd_test.go
+++ b/prove/crowd/crowd_test.go
@@ -59,13 +59,47 @@
 					t.Run(w.name, func(t *testing.T) { play(t, l, w) })
 				}
 			}
+			if l.isRPC {
+				for _, w := range l.target.rpcWays() {
+					t.Run(w.name, func(t *testing.T) { play(t, l, w) })
+				}
+			}
 		})
 	}
 }
 
+// A small instance allows larger requests than the lowered limits do, so that fewer of
+// them take its memory.
+func TestCrowdOnSmallInstance(t *testing.T) {
+	limits := map[string]any{"memory_mb": instanceMemoryMB, "body_ms": 500}
+	for _, l := range listeners {
+		if !slices.Contains(smallListeners, l.name) {
+			continue
+		}
+		t.Run(l.name, func(t *testing.T) {
+			for _, w := range l.ways() {
+				if slices.Contains(largeWays, w.name) {
+					t.Run(w.name, func(t *testing.T) { playWith(t, l, w, limits, instanceMemoryMB) })
+				}
+			}
+		})
+	}
+}
+
+var (
+	smallListeners = []string{"Listen", "Agents", "Control"}
+	largeWays      = []string{"ChunkedOverLimit", "HeldBodies", "HugeJSON", "DeepJSON", "HeldFrames", "EndlessBytes", "HugeMessage"}
+)
+
 // play sets a crowd on a listener of a new process.
 func play(t *testing.T, l listener, w way) {
-	p := l.start(t, l.program, lowered)
+	playWith(t, l, w, lowered, memoryMB)
+}
+
+// playWith sets a crowd on a listener of a new process with limits, of which one is that
+// of its memory.
+func playWith(t *testing.T, l listener, w way, limits map[string]any, memoryMB int64) {
+	p := l.start(t, l.program, limits)
 	at := p.addresses[l.field]
 	ask := l.ask(at)
 	if !askUntil(t.Context(), ask) {
@@ -124,8 +158,8 @@
 	// script is what a member does with a connection. It calls inPlace when it has
 	// sent all that it sends at once.
 	script func(ctx context.Context, c *connection, inPlace func()) error
-	// deaf members do not read answers.
-	deaf bool
+	// deaf members do not read answers; those of some scripts read them themselves.
+	deaf, readsItself bool
 }
 
 // enter sends in all members and returns when they are in position, or after
