--- a/guard/guard.go
+++ b/guard/guard.go
@@ -118,7 +118,7 @@
 // tryAdd registers a connection, or waits shortly for those that it closes to end.
 func (g *Guard) tryAdd(nc net.Conn, k Kind) (added *Conn, again bool) {
 	g.mu.Lock()
-	entry, victim, again := g.table.Add(k, g.limits.connections(k), g.now())
+	entry, victim, again := g.table.Add(k, g.limits.MaxConnections(k), g.now())
 	if entry != nil {
 		added = &Conn{Conn: nc, guard: g, entry: entry}
 		g.conns[entry] = added
--- a/guard/http.go
+++ b/guard/http.go
@@ -26,7 +26,7 @@
 // handled once its body, of at most maxBody bytes, has been read. One that is refused
 // has not been handled.
 func (g *Guard) Server(h fasthttp.RequestHandler, maxBody int) *fasthttp.Server {
-	maxBody = g.limits.maxBody(maxBody)
+	maxBody = g.limits.MaxBody(maxBody)
 	return &fasthttp.Server{
 		Handler:            g.handler(h, maxBody),
 		HeaderReceived:     func(h *fasthttp.RequestHeader) fasthttp.RequestConfig { return checkAnnounced(h, maxBody) },
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -49,14 +49,14 @@
 	return cmp.Or(l.FlightMB*megabyte, l.memoryMB()*megabyte/3)
 }
 
-// connections returns the bound of a listener with a share of the descriptors.
-func (l Limits) connections(k Kind) int {
+// MaxConnections returns the bound of a listener, a share of the descriptors by its kind.
+func (l Limits) MaxConnections(k Kind) int {
 	free := cmp.Or(l.Descriptors, defaultDescriptors) - reservedDescriptors
 	return max(1, cmp.Or(l.Connections, free/k.descriptorShare()))
 }
 
-// maxBody returns the largest body in bytes on a listener that allows upTo.
-func (l Limits) maxBody(upTo int) int {
+// MaxBody returns the largest body in bytes on a listener that allows upTo.
+func (l Limits) MaxBody(upTo int) int {
 	return max(1, min(upTo, cmp.Or(l.BodyBytes, upTo), (l.FlightBytes()-openBytes-requestBytes)/bodyCost))
 }
 
--- a/guard/rpc.go
+++ b/guard/rpc.go
@@ -17,7 +17,7 @@
 // listeners. Bodies have at most maxBody bytes.
 func (g *Guard) RPCServer(h http.Handler, maxBody int) *http.Server {
 	return &http.Server{
-		Handler:           g.rpcHandler(h, g.limits.maxBody(maxBody)),
+		Handler:           g.rpcHandler(h, g.limits.MaxBody(maxBody)),
 		ConnState:         noteRPCState,
 		ConnContext:       func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) },
 		MaxHeaderBytes:    maxHeaderBytes,
