Guard: compressed bodies of calls are refused

The guard counts what arrives, and the RPC library decompresses after that: six bodies of 64 MB, 65 KB compressed, took an entry to 1213 MB and an agent to 995 MB (TestCrowdOfFirstDesign/…/Compressed). No client of the system compresses what it sends, so such a request is refused with status 415; answers are still compressed for those who accept that. A limit on the decompressed length was ruled out: the budget would have to count it before it is known.

--- a/guard/rpc.go
+++ b/guard/rpc.go
@@ -51,6 +51,13 @@
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			return
 		}
+		if isCompressed(r.Header) {
+			g.refuse(BodyTooLarge, c.RemoteAddr())
+			c.refused = true
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusUnsupportedMediaType)
+			return
+		}
 		if r.ContentLength == 0 {
 			g.move(c.entry, Handled)
 		} else if http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.limits.Body())) != nil {
@@ -62,6 +69,17 @@
 	})
 }
 
+// isCompressed reports whether a body or the messages in it are compressed, so that their
+// length does not bound what they take.
+func isCompressed(h http.Header) bool {
+	for _, name := range []string{"Content-Encoding", "Connect-Content-Encoding", "Grpc-Encoding"} {
+		if v := h.Get(name); v != "" && v != "identity" {
+			return true
+		}
+	}
+	return false
+}
+
 // meteredBody reserves the memory of a body as it is read.
 type meteredBody struct {
 	io.ReadCloser
