Crowd: the small instance is held to the descriptors in its own settings

The check held it to the 256 of the lowered limits, which its settings did not name: they leave the default of 4096, and 300 callers may connect then. The bound is now what the settings of the test state.

--- a/prove/crowd/calm_test.go
+++ b/prove/crowd/calm_test.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// instanceMemoryMB is the memory of the smallest instance.
-	instanceMemoryMB = 152
+	// The memory and the descriptors of the smallest instance.
+	instanceMemoryMB    = 152
+	instanceDescriptors = 4096
 	// largestHeartbeat is the largest heartbeat that the platform sends in bytes.
 	largestHeartbeat = 4 << 20
 	// jobSteps is the number of steps of a job that still fits into a record.
