--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -69,9 +69,6 @@
 	retryPause = 40 * time.Millisecond
 	// queryTimeout bounds how long a query waits for an owner.
 	queryTimeout = 400 * time.Millisecond
-	// maxRefusedRepeats is how many repeats of a write of unknown outcome may be refused
-	// in a row. A store that is away for longer outlasts most callers.
-	maxRefusedRepeats = 3
 	// idDigits is the length of a job's ID in hexadecimal digits.
 	idDigits = 16
 	// maxConfigAge is the age of the configuration above which the entry is not
@@ -231,11 +228,9 @@
 
 // storeWithRetry repeats a write until the store has answered or the caller's
 // time is over. It refuses the request only if no try
-// of the write, nor an earlier one that is in doubt, can have been carried out. When the
-// outcome is not known and the store refuses further tries, it answers so at once: the
-// caller can come again while it has time.
+// of the write, nor an earlier one that is in doubt, can have been carried out.
 func (s *Server) storeWithRetry(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id, message string, inDoubt bool, write func() error) {
-	unanswered, refusals, begun := 0, 0, time.Now()
+	unanswered, begun := 0, time.Now()
 	for {
 		err := write()
 		refused := errors.Is(err, spar.ErrRefused)
@@ -250,16 +245,14 @@
 		case refused && unanswered == 0 && !inDoubt:
 			s.refuse(c, q, id, "store refuses", err)
 			return
-		case ctx.Err() != nil || refused && refusals >= maxRefusedRepeats:
-			s.Warn("outcome unknown", "job", id, "queue", q.Name, "unsure", unanswered, "in_doubt", inDoubt, "refusals", refusals, "took", time.Since(begun), "err", err)
+		case ctx.Err() != nil:
+			s.Warn("outcome unknown", "job", id, "queue", q.Name, "unsure", unanswered, "in_doubt", inDoubt, "took", time.Since(begun), "err", err)
 			s.Counter("unknown").Inc(1)
 			c.SetStatusCode(fasthttp.StatusGatewayTimeout)
 			return
 		}
-		if refused {
-			refusals++
-		} else {
-			unanswered, refusals = unanswered+1, 0
+		if !refused {
+			unanswered++
 		}
 		track.Pause(ctx, retryPause)
 	}
