--- a/admit/request.go
+++ b/admit/request.go
@@ -19,23 +19,25 @@
 
 // Request is a job that a caller hands in.
 type Request struct {
-	ID       string
-	Service  string
-	Priority int
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Priority int    `json:"priority,omitempty"`
 	// Work is the time that the job takes on one processor.
-	Work time.Duration
+	Work time.Duration `json:"work_ns"`
 	// Objective is the time in which the job should complete.
-	Objective time.Duration
+	Objective time.Duration `json:"objective_ns"`
 	// Standing is set if a part of the job runs until it is cancelled.
-	Standing bool
+	Standing bool `json:"standing,omitempty"`
 	// Reserves and Fills are set if a part of the job takes room of its own, or what
 	// serving tasks leave unused.
-	Reserves, Fills bool
-	History         History
+	Reserves bool `json:"reserves,omitempty"`
+	Fills    bool `json:"fills,omitempty"`
+	// History is not passed on: who decides has to know it.
+	History History `json:"-"`
 	// Refusals is how often the job was refused before.
-	Refusals int
+	Refusals int `json:"-"`
 	// Patience is how long the caller goes on trying; 0 is not known.
-	Patience time.Duration
+	Patience time.Duration `json:"patience_ns,omitempty"`
 }
 
 // NewRequest describes a job by its steps and the objective of its queue. shortestPath
--- a/entry/owner/admission.go
+++ b/entry/owner/admission.go
@@ -116,11 +116,13 @@
 	return v
 }
 
-// admit decides about a job as the owner.
+// admit decides about a job as the owner, for an entry that has heard from all others
+// that they have not tried to store it, or is about to.
 func (t *term) admit(q admit.Request) admit.Verdict {
 	now := time.Now()
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
+	q.History = admit.NeverAccepted
 	if _, known := t.scheduler.JobState(q.ID); known || t.checkSubmissionsRead() != nil {
 		q.History = admit.MayBeAccepted
 	}
