--- a/entry/owner/admission.go
+++ b/entry/owner/admission.go
@@ -116,8 +116,8 @@
 	return v
 }
 
-// admit decides about a job as the owner, for an entry that has heard from all others
-// that they have not tried to store it, or is about to.
+// admit decides about a job as the owner. The entry that asks finds out whether another
+// one has tried to store it.
 func (t *term) admit(q admit.Request) admit.Verdict {
 	now := time.Now()
 	t.stateMu.Lock()
--- a/entry/owner/admission_test.go
+++ b/entry/owner/admission_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/admit"
+	"github.com/berylspar/spar/entry/intake"
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/stand/store"
 	"github.com/berylspar/spar/track"
@@ -162,3 +163,46 @@
 		t.Error("old refusals are not forgotten")
 	}
 }
+
+// refusingWrites refuses all appends.
+type refusingWrites struct{ *store.Client }
+
+func (refusingWrites) Append(context.Context, string, *spar.Producer, []spar.Record) (int64, error) {
+	return 0, errors.Mark(errors.New("busy"), spar.ErrRefused)
+}
+
+// The store has been away for four seconds. Callers come back after as long again, but
+// within their own time and not all at once; with admission off, after a second.
+func TestCallersReturnWhenTheStoreIsLikelyBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCandidate(&store.Store{}, "e0", &routedPeers{})
+		c.store = intake.NewStore(c.Common, refusingWrites{store.NewClient(&store.Store{}, 1)})
+		c.jobs = intake.NewWriter(c.store, JobsTopic)
+		client := NewClient(c.Common, c, nil)
+		for begun := time.Now(); time.Since(begun) < 4*time.Second; time.Sleep(100 * time.Millisecond) {
+			if err := c.jobs.Write(t.Context(), spar.Record{Key: JobPrefix + "a"}); !errors.Is(err, spar.ErrRefused) {
+				t.Fatal(err)
+			}
+		}
+		if back := client.ReturnIn("a", deskQueue, 0); back != time.Second {
+			t.Errorf("admission off: %s", back)
+		}
+		c.settings.Admission.Mode = admissionOn
+		returns := map[time.Duration]bool{}
+		for i := range 20 {
+			back := client.ReturnIn(fmt.Sprint(i), deskQueue, 0)
+			returns[back] = true
+			if back < 3500*time.Millisecond || back > 8*time.Second {
+				t.Errorf("job %d: %s", i, back)
+			}
+			if back := client.ReturnIn(fmt.Sprint(i), deskQueue, 1500*time.Millisecond); back > 1500*time.Millisecond {
+				t.Errorf("job %d of an impatient caller: %s", i, back)
+			}
+		}
+		if len(returns) < 15 {
+			t.Errorf("20 callers return at %d times", len(returns))
+		}
+		// The probes of the writer end.
+		time.Sleep(time.Minute)
+	})
+}
