--- a/entry/owner/admission.go
+++ b/entry/owner/admission.go
@@ -116,11 +116,13 @@
 	return v
 }
 
-// admit decides about a job as the owner.
+// admit decides about a job as the owner. The entry that asks finds out whether another
+// one has tried to store it.
 func (t *term) admit(q admit.Request) admit.Verdict {
 	now := time.Now()
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
+	q.History = admit.NeverAccepted
 	if _, known := t.scheduler.JobState(q.ID); known || t.checkSubmissionsRead() != nil {
 		q.History = admit.MayBeAccepted
 	}
