--- a/guard/conn.go
+++ b/guard/conn.go
@@ -108,7 +108,7 @@
 // linger lets the client read a refusal before the connection ends.
 func (c *Conn) linger() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return
 	}
 	var dropped [4 << 10]byte
--- a/guard/http.go
+++ b/guard/http.go
@@ -33,9 +33,9 @@
 		ExpectHandler:      answerExpectation,
 		ConnState:          noteState,
 		ReadBufferSize:     maxHeaderBytes,
-		ReadTimeout:        g.limits.Header(),
-		WriteTimeout:       g.limits.Answer(),
-		IdleTimeout:        g.limits.Idle(),
+		ReadTimeout:        g.limits.header(),
+		WriteTimeout:       g.limits.answer(),
+		IdleTimeout:        g.limits.idle(),
 		StreamRequestBody:  true,
 		ReduceMemoryUsage:  true,
 		CloseOnShutdown:    true,
@@ -126,7 +126,7 @@
 	for reads := 0; ; reads++ {
 		// The first two reads return what came with the header.
 		if reads == 2 {
-			if err := c.SetReadDeadline(time.Now().Add(c.guard.limits.Body())); err != nil {
+			if err := c.SetReadDeadline(time.Now().Add(c.guard.limits.body())); err != nil {
 				return err
 			}
 		}
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -62,10 +62,10 @@
 
 func (l Limits) memoryMB() int { return cmp.Or(l.MemoryMB, defaultMemoryMB) }
 
-// Header, Body, Answer and Idle return the times of the settings of the same name.
-func (l Limits) Header() time.Duration { return cmp.Or(ms(l.HeaderMS), defaultPause) }
-func (l Limits) Body() time.Duration   { return cmp.Or(ms(l.BodyMS), defaultPause) }
-func (l Limits) Answer() time.Duration { return cmp.Or(ms(l.AnswerMS), defaultPause) }
-func (l Limits) Idle() time.Duration   { return cmp.Or(ms(l.IdleMS), defaultIdle) }
+// The times of the settings of the same name.
+func (l Limits) header() time.Duration { return cmp.Or(ms(l.HeaderMS), defaultPause) }
+func (l Limits) body() time.Duration   { return cmp.Or(ms(l.BodyMS), defaultPause) }
+func (l Limits) answer() time.Duration { return cmp.Or(ms(l.AnswerMS), defaultPause) }
+func (l Limits) idle() time.Duration   { return cmp.Or(ms(l.IdleMS), defaultIdle) }
 
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/guard/rpc.go
+++ b/guard/rpc.go
@@ -21,9 +21,9 @@
 		ConnState:         noteRPCState,
 		ConnContext:       func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) },
 		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: g.limits.Header(),
-		WriteTimeout:      g.limits.Header() + g.limits.Body() + g.limits.Answer(),
-		IdleTimeout:       g.limits.Idle(),
+		ReadHeaderTimeout: g.limits.header(),
+		WriteTimeout:      g.limits.header() + g.limits.body() + g.limits.answer(),
+		IdleTimeout:       g.limits.idle(),
 	}
 }
 
@@ -53,7 +53,7 @@
 		}
 		if r.ContentLength == 0 {
 			g.move(c.entry, Handled)
-		} else if http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.limits.Body())) != nil {
+		} else if http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.limits.body())) != nil {
 			return
 		}
 		r.Body = &meteredBody{ReadCloser: http.MaxBytesReader(w, r.Body, int64(maxBody)), conn: c}
--- a/guard/server_test.go
+++ b/guard/server_test.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		return 0, "", err.Error()
 	}
+	defer r.Body.Close()
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
 		t.Fatal(err)
