--- a/link/fuzz_test.go
+++ b/link/fuzz_test.go
@@ -59,6 +59,24 @@
 	})
 }
 
+// The bound of what a message decodes to is reserved before it is decoded, so it must hold.
+func FuzzDecodedBytes(f *testing.F) {
+	f.Add([]byte(encode(f, link.AgentMessage{Node: "i-1", Worker: &spar.WorkerInfo{Service: "s", Labels: []string{"a"}}, Running: []spar.Running{{Run: 1}}})))
+	for _, row := range []string{"\xc0", "\x80", "\x90", "\x81\xa1t\xc0"} {
+		f.Add([]byte("\x81\xa1r\xdc\x10\x00" + strings.Repeat(row, 4096)))
+		f.Add([]byte("\x81\xa1e\xdc\x10\x00" + strings.Repeat(row, 4096)))
+		f.Add([]byte("\x81\xa1d\xdc\x10\x00" + strings.Repeat(row, 4096)))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		most, err := codec.DecodedBytes(body)
+		if err != nil {
+			return
+		}
+		fuzz.Within(t, most, func() { _, _ = codec.Decode[link.AgentMessage](body) })
+		fuzz.Within(t, most, func() { _, _ = codec.Decode[link.OwnerMessage](body) })
+	})
+}
+
 func FuzzDecodeEntryRecord(f *testing.F) {
 	f.Add(link.EntryRecord{Epoch: 4, AgentAddress: "10.0.0.1:1", Predecessors: []link.Predecessor{{Epoch: 3}}}.Encode())
 	f.Fuzz(func(t *testing.T, value []byte) {
