--- a/prove/crowd/crowd_test.go
+++ b/prove/crowd/crowd_test.go
@@ -103,7 +103,7 @@
 	ctx, leave := context.WithCancel(t.Context())
 	defer leave()
 	peak := watch(ctx, p.proc)
-	done := w.crowd.enter(ctx, at)
+	done := w.enter(ctx, at)
 	time.Sleep(holdTime)
 	beside := askTimes(ctx, ask, triesBesideCrowd)
 	leave()
