--- a/guard/limits.go
+++ b/guard/limits.go
@@ -49,23 +49,23 @@
 	return cmp.Or(l.FlightMB*megabyte, l.memoryMB()*megabyte/3)
 }
 
-// connections returns the bound of a listener with a share of the descriptors.
-func (l Limits) connections(k Kind) int {
+// MaxConnections returns the bound of a listener, a share of the descriptors by its kind.
+func (l Limits) MaxConnections(k Kind) int {
 	free := cmp.Or(l.Descriptors, defaultDescriptors) - reservedDescriptors
 	return max(1, cmp.Or(l.Connections, free/k.descriptorShare()))
 }
 
-// maxBody returns the largest body in bytes on a listener that allows upTo.
-func (l Limits) maxBody(upTo int) int {
+// MaxBody returns the largest body in bytes on a listener that allows upTo.
+func (l Limits) MaxBody(upTo int) int {
 	return max(1, min(upTo, cmp.Or(l.BodyBytes, upTo), (l.FlightBytes()-openBytes-requestBytes)/bodyCost))
 }
 
 func (l Limits) memoryMB() int { return cmp.Or(l.MemoryMB, defaultMemoryMB) }
 
-// Header, Body, Answer and Idle return the times of the settings of the same name.
-func (l Limits) Header() time.Duration { return cmp.Or(ms(l.HeaderMS), defaultPause) }
-func (l Limits) Body() time.Duration   { return cmp.Or(ms(l.BodyMS), defaultPause) }
-func (l Limits) Answer() time.Duration { return cmp.Or(ms(l.AnswerMS), defaultPause) }
-func (l Limits) Idle() time.Duration   { return cmp.Or(ms(l.IdleMS), defaultIdle) }
+// The times of the settings of the same name.
+func (l Limits) header() time.Duration { return cmp.Or(ms(l.HeaderMS), defaultPause) }
+func (l Limits) body() time.Duration   { return cmp.Or(ms(l.BodyMS), defaultPause) }
+func (l Limits) answer() time.Duration { return cmp.Or(ms(l.AnswerMS), defaultPause) }
+func (l Limits) idle() time.Duration   { return cmp.Or(ms(l.IdleMS), defaultIdle) }
 
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/guard/rpc.go
+++ b/guard/rpc.go
@@ -17,13 +17,13 @@
 // listeners. Bodies have at most maxBody bytes.
 func (g *Guard) RPCServer(h http.Handler, maxBody int) *http.Server {
 	return &http.Server{
-		Handler:           g.rpcHandler(h, g.limits.maxBody(maxBody)),
+		Handler:           g.rpcHandler(h, g.limits.MaxBody(maxBody)),
 		ConnState:         noteRPCState,
 		ConnContext:       func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) },
 		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: g.limits.Header(),
-		WriteTimeout:      g.limits.Header() + g.limits.Body() + g.limits.Answer(),
-		IdleTimeout:       g.limits.Idle(),
+		ReadHeaderTimeout: g.limits.header(),
+		WriteTimeout:      g.limits.header() + g.limits.body() + g.limits.answer(),
+		IdleTimeout:       g.limits.idle(),
 	}
 }
 
@@ -60,7 +60,7 @@
 		}
 		if r.ContentLength == 0 {
 			g.move(c.entry, Handled)
-		} else if http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.limits.Body())) != nil {
+		} else if http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.limits.body())) != nil {
 			return
 		}
 		r.Body = &meteredBody{ReadCloser: http.MaxBytesReader(w, r.Body, int64(maxBody)), conn: c}
