Shard: fills placed and paced by the harm that they are expected to do

Half of the time over target that the true slack explains comes from a load that rises after the fill has started; two thirds of single reports over target are scatter and kept fills off the worker or had them paced. The budget is the least over a worker's groups, however many tasks bear it.

owner.fill_harm (default 0: as before) limits the task-seconds over target that a core-second of a fill may cost: sinusoids forecast each group's slack, the share over target is a smooth function of it, each task of a group counts, the median of a group's tails on a worker is observed once, and a single report that the model contradicts counts from the second on. The summary (log, serving_over_target_ms, highest_slack_given) names the groups that pay.

--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -53,6 +53,7 @@
 	t.scheduler.Tick(now, now)
 	if t.isValid() && t.checkInputs(now) {
 		t.scheduler.Plan(now)
+		t.reportFills(now)
 		if t.adviser != nil {
 			requests = t.scheduler.AdviceRequests(now)
 		}
--- a/entry/owner/settings.go
+++ b/entry/owner/settings.go
@@ -34,6 +34,9 @@
 	CallBytes   int `json:"call_bytes" jsonschema:"minimum=4096,maximum=67108864,description=largest append that the store accepts in bytes"`
 	// KeepMS is how long an ended job can still be queried.
 	KeepMS int64 `json:"keep_ms" jsonschema:"minimum=1000,maximum=86400000,description=time for which an ended job stays readable in ms"`
+	// FillHarm is for how many task-seconds a core-second of a fill may bring serving
+	// tasks over their targets; 0 has fills keep to slack budgets alone.
+	FillHarm float64 `json:"fill_harm" jsonschema:"minimum=0,maximum=10,description=task-seconds for which a core-second of a fill may bring serving tasks over their targets; 0 leaves it to slack budgets"`
 }
 
 // DefaultSettings returns settings for a store that answers within a few
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -77,7 +77,7 @@
 
 func newTerm(c *Candidate, epoch int64, until time.Duration) *term {
 	t := &term{Candidate: c, epoch: epoch, wake: make(chan struct{}, 1), ended: make(chan struct{}), sessions: map[string]*session{}}
-	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep(), RecordBytes: c.settings.valueBytes()}, t.logEvent)
+	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep(), RecordBytes: c.settings.valueBytes(), FillHarm: c.settings.FillHarm}, t.logEvent)
 	t.jobs = &track.Follower{
 		Store: c.store, Topic: JobsTopic, Wait: jobsReadWait, OnSnapshot: t.applyJobRecords, OnRecords: t.applyJobRecords,
 		OnError: func(err error) { t.Warn("could not read the jobs topic", "err", err) },
--- a/interf/model.go
+++ b/interf/model.go
@@ -132,6 +132,31 @@
 	e.correct(residual, variance)
 }
 
+// AssumeSlack sets the slack of a serving group without fills to one that is known
+// from elsewhere, with its variance.
+func (m *Model) AssumeSlack(s ServingGroup, slack, variance float64, now time.Time) {
+	e := m.slackAt(s, now)
+	e.mean, e.variance = slack, min(e.variance, variance)
+	e.lowest = min(e.lowest, slack)
+}
+
+// Unfilled returns the slack that a serving task would have without the fills beside
+// it, from its tail latency as a multiple of its target, and the variance of that
+// estimate. ok is false if the tail latency says nothing about it.
+func (m *Model) Unfilled(s ServingGroup, fills []FillUsage, tailRatio float64) (slack, variance float64, ok bool) {
+	observed := 1 / tailRatio
+	if observed < saturatedSlack {
+		return 0, 0, false
+	}
+	noise := relativeNoiseStdDev * observed
+	variance = noiseVariance + noise*noise
+	for _, f := range fills {
+		variance += m.costEstimate(s.Image, f.Image).variance * f.CPUFraction * f.CPUFraction
+	}
+	cost := m.TotalCost(s.Image, fills)
+	return observed + cost, variance + cost*cost/4, true
+}
+
 // slackAt returns the slack estimate of a serving group, created if missing.
 // Its variance and lowest value are advanced to now.
 func (m *Model) slackAt(s ServingGroup, now time.Time) *slackEstimate {
--- a/shard/colocation.go
+++ b/shard/colocation.go
@@ -69,8 +69,13 @@
 	if now.Sub(w.tailsCheckedAt) < tailCheckInterval {
 		return
 	}
+	since := now.Sub(w.tailsCheckedAt)
 	w.tailsCheckedAt = now
-	fills := w.fillUsage(now)
+	fills := sc.fillUsage(w, now)
+	if sc.limitsHarm() {
+		sc.countOverTarget(w, since)
+		sc.observeGroups(w.groupTails(), fills, now)
+	}
 	longestOver, excessPredicted := time.Duration(-1), false
 	var tight []*run
 	for r := range w.runs {
@@ -79,14 +84,21 @@
 			r.overTargetSince = time.Time{}
 			continue
 		}
-		tailRatio := float64(r.measured) / float64(s.TailTarget.Milliseconds())
+		tailRatio := r.tailRatio()
 		excessPredicted = excessPredicted || tailRatio > 1 && sc.slackWithFills(r, fills) < 1
-		sc.interference.Observe(s.servingGroup(), fills, tailRatio, now)
+		if !sc.limitsHarm() {
+			sc.interference.Observe(s.servingGroup(), fills, tailRatio, now)
+		}
 		if sc.slackWithFills(r, fills) < throttleSlack {
 			tight = append(tight, r)
 		}
 		if tailRatio <= 1 {
-			r.overTargetSince = time.Time{}
+			r.overTargetSince, r.roughlyOver = time.Time{}, false
+			continue
+		}
+		if sc.limitsHarm() && r.overTargetSince.IsZero() && !r.roughlyOver && sc.slackWithFills(r, fills) > doubtfulSlack {
+			// A single figure that the model contradicts may be wrong.
+			r.roughlyOver = true
 			continue
 		}
 		if r.overTargetSince.IsZero() {
@@ -95,7 +107,12 @@
 		longestOver = max(longestOver, now.Sub(r.overTargetSince))
 	}
 	sc.stopStalledRuns(w, now)
-	sc.speedUpFills(w, now)
+	if sc.limitsHarm() {
+		sc.adjustFills(w, now)
+		tight = nil
+	} else {
+		sc.speedUpFills(w, now)
+	}
 	switch {
 	case longestOver >= maxTimeOverTarget:
 		sc.evictAllFills(w, now)
@@ -120,8 +137,9 @@
 func (sc *Scheduler) restoreSlack(r *run, pool []*candidate, now time.Time) {
 	slack := sc.slackWithoutFills(r)
 	fills, cost := sc.fillsByCost(r)
+	target := sc.reachableSlack(slack)
 	for _, f := range fills {
-		if slack-cost >= targetSlack {
+		if slack-cost >= target {
 			break
 		}
 		if f.percent < nearlyDonePercent && sc.fitsElsewhere(f, pool, now) {
@@ -129,7 +147,7 @@
 			sc.evictFill(f, "disturbs "+r.task.step.Image, now)
 			continue
 		}
-		cost -= sc.slowFill(r, f, targetSlack-(slack-cost))
+		cost -= sc.slowFill(r, f, target-(slack-cost))
 	}
 }
 
@@ -151,11 +169,11 @@
 
 // fillUsage returns the CPU use by image of the current and the recently ended
 // fills.
-func (w *worker) fillUsage(now time.Time) []interf.FillUsage {
+func (sc *Scheduler) fillUsage(w *worker, now time.Time) []interf.FillUsage {
 	fractions := map[string]float64{}
 	for r := range w.runs {
 		if r.task.step.Fills && r.confirmed {
-			fractions[r.task.step.Image] += w.cpuFraction(r.measured)
+			fractions[r.task.step.Image] += w.cpuFraction(sc.fillCPUInUse(r, now))
 		}
 	}
 	w.recentFills = slices.DeleteFunc(w.recentFills, func(e endedFill) bool { return now.Sub(e.endedAt) > endedFillWindow })
--- a/shard/headroom.go
+++ b/shard/headroom.go
@@ -24,6 +24,10 @@
 type groupLoad struct {
 	image          string
 	budget, filled float64
+	// tasks is the number of its tasks there, and ahead its slack without fills in
+	// the time ahead.
+	tasks int
+	ahead [harmSamples]float64
 }
 
 // headroom returns the headroom for fills of an image. Within a planning pass
@@ -54,7 +58,10 @@
 func (sc *Scheduler) loadGroups(w *candidate) {
 	w.groupLoads = make([]groupLoad, 0, len(w.serving))
 	for _, g := range w.serving {
-		w.groupLoads = append(w.groupLoads, groupLoad{image: g.group.Image, budget: sc.slackBudget(g.group), filled: sc.allocatedFillCost(w, g.group.Image)})
+		w.groupLoads = append(w.groupLoads, groupLoad{image: g.group.Image, budget: sc.slackBudget(g.group), filled: sc.allocatedFillCost(w, g.group.Image), tasks: g.tasks})
+		if sc.limitsHarm() {
+			w.groupLoads[len(w.groupLoads)-1].ahead = sc.slackAhead(g, w.horizon())
+		}
 	}
 }
 
@@ -72,6 +79,9 @@
 // fill of a step can run beside the tasks allocated on a worker without
 // exceeding the slack budget of any serving task.
 func (sc *Scheduler) sustainablePace(w *candidate, s *step) int {
+	if sc.limitsHarm() {
+		return sc.paceWithinHarm(w, s)
+	}
 	pace := 1.0
 	if f := w.cpuFraction(s.Size.CPUMilli); f > 0 {
 		pace = min(pace, sc.headroom(w, s.Image).fraction/f)
@@ -80,11 +90,15 @@
 }
 
 // pressure returns the highest used share of a slack budget among the serving
-// tasks of a worker, if a fill of a step is added at the given pace.
+// tasks of a worker, if a fill of a step is added at the given pace. If harm is
+// limited, it is the share of the fill's limit.
 func (sc *Scheduler) pressure(w *candidate, s *step, pace int) float64 {
 	var highest float64
 	f := w.cpuFraction(s.fillCPU(pace))
 	h := sc.headroom(w, s.Image)
+	if sc.limitsHarm() {
+		return sc.harmShare(w, s, pace)
+	}
 	for i, g := range w.groupLoads {
 		highest = max(highest, (h.costs[i]*f+g.filled)/g.budget)
 	}
--- a/shard/job.go
+++ b/shard/job.go
@@ -126,6 +126,9 @@
 	// overTargetSince is when the tail latency began to exceed its target; zero
 	// while it does not.
 	overTargetSince time.Time
+	// roughlyOver reports whether the last tail latency exceeded its target against
+	// what the model says.
+	roughlyOver bool
 }
 
 func newJob(j spar.Job, now time.Time) *job {
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -20,8 +21,13 @@
 	// headroom.
 	groupLoads []groupLoad
 	headrooms  []*fillHeadroom
+	// span is the time ahead for which the slack of serving groups is considered;
+	// 0 stands for fillHorizon.
+	span time.Duration
 }
 
+func (w *candidate) horizon() time.Duration { return cmp.Or(w.span, fillHorizon) }
+
 // servingCPUShare is the assumed CPU use of serving tasks, as a share of their
 // reservation. Fills may use the rest.
 const servingCPUShare = 0.45
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -21,6 +21,9 @@
 	// RecordBytes is the largest value of a record that the store accepts, or 0 for
 	// defaultRecordBytes.
 	RecordBytes int
+	// FillHarm is for how many task-seconds a core-second of a fill may bring serving
+	// tasks over their targets; 0 has fills keep to slack budgets alone.
+	FillHarm float64
 }
 
 func (l Limits) recordBytes() int { return cmp.Or(l.RecordBytes, defaultRecordBytes) }
@@ -74,6 +77,12 @@
 	pool              []*candidate
 	poolAt, plannedAt time.Time
 	interference      interf.Model
+	// swings has observations if harm is limited.
+	swings interf.Swings
+	// overTarget is the time for which serving tasks were over their targets beside
+	// fills since fillsSummarizedAt.
+	overTarget        time.Duration
+	fillsSummarizedAt time.Time
 	// storedModel is the last stored form of interference, and modelCheckedAt
 	// the last time at which PrepareCommit compared the two.
 	storedModel    []byte
@@ -187,6 +196,7 @@
 	if sc.activeJobs[j] {
 		delete(sc.activeJobs, j)
 		sc.interference.ForgetJob(j.ID)
+		sc.swings.ForgetJob(j.ID)
 		sc.retiredJobs = append(sc.retiredJobs, j)
 	}
 }
--- a/shard/slack.go
+++ b/shard/slack.go
@@ -22,6 +22,9 @@
 // slackWithoutFills returns the estimated slack of a serving task with no fill
 // beside it.
 func (sc *Scheduler) slackWithoutFills(r *run) float64 {
+	if lowest, ok := sc.swings.Lowest(r.task.step.servingGroup(), sc.now, paceDelay); ok {
+		return lowest
+	}
 	current, _ := sc.interference.Slack(r.task.step.servingGroup())
 	return current
 }
@@ -49,6 +52,9 @@
 // based on the mean of the forecast slack and of the one at the highest recent
 // load.
 func (sc *Scheduler) slackBudget(s interf.ServingGroup) float64 {
+	if lowest, ok := sc.swings.Lowest(s, sc.now, fillHorizon); ok {
+		return max(lowest-targetSlack, minSlackBudget)
+	}
 	_, lowest := sc.interference.Slack(s)
 	return max((sc.interference.Forecast(s, placementHorizon)+lowest)/2-targetSlack, minSlackBudget)
 }
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -76,6 +76,8 @@
 type groupCPU struct {
 	group interf.ServingGroup
 	milli int64
+	// tasks is the number of its tasks.
+	tasks int
 }
 
 // imageCPU is the CPU of the fills of an image on a worker, in thousandths of a
@@ -86,16 +88,17 @@
 }
 
 // addServing adds CPU to a serving group. A group without CPU is removed.
-func (a *allocation) addServing(g interf.ServingGroup, milli int64) {
+func (a *allocation) addServing(g interf.ServingGroup, milli int64, tasks int) {
 	for i := range a.serving {
 		if a.serving[i].group == g {
+			a.serving[i].tasks += tasks
 			if a.serving[i].milli += milli; a.serving[i].milli == 0 {
 				a.serving = slices.Delete(a.serving, i, i+1)
 			}
 			return
 		}
 	}
-	a.serving = append(a.serving, groupCPU{g, milli})
+	a.serving = append(a.serving, groupCPU{g, milli, tasks})
 }
 
 // addFill adds CPU to the fills of an image.
@@ -117,7 +120,7 @@
 		s := r.task.step
 		a.addTasks(s, r.pace, 1)
 		if s.Standing && !s.Fills && w.isSlowWithoutFills(r, now) {
-			a.addServing(s.servingGroup(), -s.Size.CPUMilli)
+			a.addServing(s.servingGroup(), -s.Size.CPUMilli, -1)
 		}
 	}
 	return a
@@ -136,7 +139,7 @@
 	a.reserved.CPUMilli += n * s.Size.CPUMilli
 	if s.Standing {
 		a.servingCPU += n * s.Size.CPUMilli
-		a.addServing(s.servingGroup(), n*s.Size.CPUMilli)
+		a.addServing(s.servingGroup(), n*s.Size.CPUMilli, int(n))
 	}
 }
 
