--- a/shard/harm.go
+++ b/shard/harm.go
@@ -68,12 +68,17 @@
 	return sum
 }
 
+// runningHarmFactor is by how much a fill at work may exceed the limit of harm that
+// holds for its start. A fill that is slowed down as soon as it could not start any
+// more holds its room for long, and brings its job no nearer to its end.
+const runningHarmFactor = 3
+
 // paceWithinHarm returns the highest pace, in percent and in steps of 10, at which
-// a fill of a step keeps to its limit of harm.
-func (sc *Scheduler) paceWithinHarm(w *candidate, s *step) int {
+// a fill of a step keeps to its limit of harm times a factor.
+func (sc *Scheduler) paceWithinHarm(w *candidate, s *step, factor float64) int {
 	h, full := sc.headroom(w, s.Image), w.cpuFraction(s.Size.CPUMilli)
 	for pace := 100; pace > 0; pace -= 10 {
-		if limit := sc.harmLimit(s, pace); h.harm(w.groupLoads, full*float64(pace)/100, limit) <= limit {
+		if limit := factor * sc.harmLimit(s, pace); h.harm(w.groupLoads, full*float64(pace)/100, limit) <= limit {
 			return pace
 		}
 	}
@@ -105,7 +110,7 @@
 		return cmp.Or(d, cmp.Compare(b.percent, a.percent), cmp.Compare(a.task.ref().String(), b.task.ref().String()))
 	})
 	for _, f := range fills {
-		s, pace := f.task.step, sc.paceWithinHarm(c, f.task.step)
+		s, pace := f.task.step, sc.paceWithinHarm(c, f.task.step, runningHarmFactor)
 		if s.isLate(now.Add(-maxWaitPastObjective)) {
 			pace = max(pace, forcedPace)
 		}
--- a/shard/harm_test.go
+++ b/shard/harm_test.go
@@ -180,3 +180,24 @@
 		t.Fatal("a second summary within the interval")
 	}
 }
+
+// Load rises beside a fill at work: it must go on at a slack at which it could not
+// start, and be slowed down once more tasks would be over their targets.
+func TestRunningFillIsSlowedLaterThanNewOneWaits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for slack, want := range map[float64]struct{ start, run bool }{2.4: {true, true}, 1.65: {false, true}, 1.4: {false, false}} {
+		sc := harmFleet(0.1, now, 2)
+		sc.learnCost(4, now)
+		sc.observeSlack("n0", now, func(time.Duration) float64 { return slack })
+		s, w := auditStep(sc, now), sc.workers["n0"]
+		if got := sc.sustainablePace(sc.candidates(now)[0], s) == 100; got != want.start {
+			t.Errorf("slack %.2f: starts %v, want %v", slack, got, want.start)
+		}
+		f := &run{task: s.tasks[0], worker: w, number: 1, pace: 100, confirmed: true, percent: 10}
+		w.addRun(f)
+		sc.adjustFills(w, now)
+		if got := f.pace == 100; got != want.run {
+			t.Errorf("slack %.2f: pace %d, want full pace %v", slack, f.pace, want.run)
+		}
+	}
+}
--- a/shard/headroom.go
+++ b/shard/headroom.go
@@ -80,7 +80,7 @@
 // exceeding the slack budget of any serving task.
 func (sc *Scheduler) sustainablePace(w *candidate, s *step) int {
 	if sc.limitsHarm() {
-		return sc.paceWithinHarm(w, s)
+		return sc.paceWithinHarm(w, s, 1)
 	}
 	pace := 1.0
 	if f := w.cpuFraction(s.Size.CPUMilli); f > 0 {
