--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -54,6 +54,7 @@
 	if t.isValid() && t.checkInputs(now) {
 		t.scheduler.Plan(now)
 		t.reportBacklog(now)
+		t.reportFills(now)
 		if t.adviser != nil {
 			requests = t.scheduler.AdviceRequests(now)
 		}
--- a/entry/owner/settings.go
+++ b/entry/owner/settings.go
@@ -39,6 +39,9 @@
 	Admission AdmissionSettings `json:"admission" jsonschema:"description=whether jobs are refused when there is too little room"`
 	// Order decides which jobs get room first where there is too little for all.
 	Order triage.Policy `json:"order" jsonschema:"enum=least-work,enum=value,description=order in which jobs get room where there is too little"`
+	// FillHarm is for how many task-seconds a core-second of a fill may bring serving
+	// tasks over their targets; 0 has fills keep to slack budgets alone.
+	FillHarm float64 `json:"fill_harm" jsonschema:"minimum=0,maximum=10,description=task-seconds for which a core-second of a fill may bring serving tasks over their targets; 0 leaves it to slack budgets"`
 }
 
 // DefaultSettings returns settings for a store that answers within a few
