--- a/prove/crowd/crowd_test.go
+++ b/prove/crowd/crowd_test.go
@@ -83,7 +83,7 @@
 
 var (
 	smallListeners = []string{"Listen", "Agents", "Control"}
-	largeWays      = []string{"ChunkedOverLimit", "HeldBodies", "HugeJSON", "DeepJSON", "HeldFrames", "EndlessBytes", "HugeMessage"}
+	largeWays      = []string{"ChunkedOverLimit", "HeldBodies", "HugeJSON", "NullJSON", "DeepJSON", "HeldFrames", "EndlessBytes", "HugeMessage"}
 )
 
 // play sets a crowd on a listener of a new process.
--- a/prove/crowd/http_test.go
+++ b/prove/crowd/http_test.go
@@ -38,6 +38,7 @@
 		{"Pipelined", crowd{size: 100, script: t.pipeline}},
 		{"AnswersNotTaken", crowd{size: manyMembers, script: t.pipeline, deaf: true}},
 		{"HugeJSON", crowd{size: 6, script: t.sendJSON}},
+		{"NullJSON", crowd{size: 6, script: t.sendNulls}},
 		{"DeepJSON", crowd{size: 20, script: t.sendDeepJSON}},
 	}
 }
@@ -104,6 +105,11 @@
 	return t.sendBody(c, t.json(t.maxBody-6))
 }
 
+// sendNulls sends a job with as many steps of null as the limit allows.
+func (t *target) sendNulls(_ context.Context, c *connection, _ func()) error {
+	return t.sendBody(c, `{"steps":[null`+strings.Repeat(",null", (t.maxBody-30)/5)+`]}`)
+}
+
 func (t *target) sendDeepJSON(_ context.Context, c *connection, _ func()) error {
 	return t.sendBody(c, `{"steps":`+strings.Repeat("[", t.maxBody-20))
 }
