--- a/guard/kind.go
+++ b/guard/kind.go
@@ -26,6 +26,9 @@
 	// bodyCost is the memory that a byte of a body takes, with the copies that are made
 	// of its texts.
 	bodyCost = 4
+	// rpcBodyCost is the same for a call between entry and agent, whose messages of 2
+	// bytes become structs.
+	rpcBodyCost = 40
 	// objectBytes and elementBytes are what an object or array and an element of JSON may
 	// add when they are decoded.
 	objectBytes  = 512
--- a/guard/rpc.go
+++ b/guard/rpc.go
@@ -89,7 +89,7 @@
 func (b *meteredBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		if e := b.conn.grow(b.conn.body + n*bodyCost); e != nil {
+		if e := b.conn.grow(b.conn.body + n*rpcBodyCost); e != nil {
 			return 0, e
 		}
 	}
