--- a/guard/table.go
+++ b/guard/table.go
@@ -31,6 +31,9 @@
 	readGrace = 250 * time.Millisecond
 	// answerGrace is the same for a client that does not take its answer.
 	answerGrace = 500 * time.Millisecond
+	// scanInterval is the least time between two searches that find none to close, since
+	// each release of bytes wakes all that wait.
+	scanInterval = 20 * time.Millisecond
 	// smallShare is n if a request counts as small up to the n-th part of the limit.
 	smallShare = 32
 )
@@ -53,6 +56,9 @@
 	leaving int
 	entries map[*Entry]struct{}
 	open    map[Kind]int
+	// scanAfter is when connections are next searched for one to close for a large and
+	// for a small request, after none was found.
+	scanAfter [2]time.Duration
 }
 
 // NewTable returns a table of at most limit bytes.
@@ -109,10 +115,14 @@
 // returns the connections to close, which may include e itself; the caller tries again
 // when bytes have been released. Idle connections are closed only for small requests.
 func (t *Table) Reserve(e *Entry, n int, now time.Duration) (ok bool, victims []*Entry) {
-	small := n <= t.limit/smallShare
-	for t.used-t.leaving+n > t.limit && !e.evicted {
+	small, size := n <= t.limit/smallShare, 0
+	if small {
+		size = 1
+	}
+	for t.used-t.leaving+n > t.limit && !e.evicted && now >= t.scanAfter[size] {
 		v := t.victim(now, func(o *Entry) bool { return small || o.phase != Idle }, readGrace)
 		if v == nil {
+			t.scanAfter[size] = now + scanInterval
 			break
 		}
 		t.evict(v)
