--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -41,10 +41,6 @@
 	// retryPause is the pause after an append without an answer; pauses double up
 	// to maxRetryPause.
 	retryPause, maxRetryPause = 40 * time.Millisecond, 320 * time.Millisecond
-	// minRefusals is how many appends in a row the store must have refused until
-	// records are refused without a call. A store that refuses a part of its calls
-	// reaches that rarely.
-	minRefusals = 4
 	// newestWeight is the weight of the newest duration in the moving mean.
 	newestWeight = 0.3
 	// maxBatchBytes bounds one append, well below what the store accepts.
@@ -99,22 +95,6 @@
 // IsSilent reports whether the store, or the topic alone, does not answer.
 func (w *Writer) IsSilent() bool { return w.store.IsSilent() || w.door.IsClosed(time.Now()) }
 
-// AwayFor returns for how long the store has stored nothing though it was asked to, or 0.
-func (w *Writer) AwayFor(now time.Time) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	switch {
-	case w.IsSilent():
-		return max(w.store.door.silentFor(now), w.door.silentFor(now))
-	case w.refusals > 0:
-		return now.Sub(w.refusedSince)
-	}
-	return 0
-}
-
-// isRefusing reports whether the store refuses all appends to the topic.
-func (w *Writer) isRefusing() bool { return w.refusals >= minRefusals }
-
 // Write stores a record. Without a result until the context ends it fails with
 // spar.ErrUnknown, or with spar.ErrRefused if the record was never sent.
 func (w *Writer) Write(ctx context.Context, r spar.Record) error {
@@ -302,25 +282,3 @@
 	}
 	w.pump(time.Now())
 }
-
-// countRefusal counts the appends in a row that the store refuses whatever their content
-// is. An append without an answer says nothing.
-func (w *Writer) countRefusal(err error) {
-	now := time.Now()
-	switch {
-	case err == nil || errors.Is(err, spar.ErrInvalid):
-		if w.isRefusing() {
-			w.store.Info("store stores records again", "topic", w.topic, "refused_for", now.Sub(w.refusedSince))
-		}
-		w.refusals = 0
-	case errors.Is(err, spar.ErrRefused) && isAnswer(err):
-		w.refusals++
-		if w.refusals == 1 {
-			w.refusedSince = now
-		}
-		if w.refusals == minRefusals {
-			w.store.Warn("store refuses all records; new ones are refused without a call", "topic", w.topic, "refused_for", now.Sub(w.refusedSince), "err", err)
-			w.store.Counter("store_refusing").Inc(1)
-		}
-	}
-}
