Intake, tries: old refusals are forgotten, tries in progress are not

Found by review. After four refusals and 10 s without a caller the probes end; the next job was refused though the store was back: refusals now count for 2 s. 8,192 tries of other jobs made an entry forget one in progress, beside which a refusal would not be true. The tasks of jobs to be copied for an explanation count whether they are done or not, and a caller's time header is capped.

--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -66,9 +66,10 @@
 	// mean is the moving mean of the duration of an append.
 	mean time.Duration
 	// repeats counts the repeats since the last success, and refusals the appends in a
-	// row that the store has refused; refusedSince is when the first of them ended.
-	repeats, refusals int
-	refusedSince      time.Time
+	// row that the store has refused; refusedSince and refusedAt are when the first and
+	// the last of them ended.
+	repeats, refusals       int
+	refusedSince, refusedAt time.Time
 	// pause is the last pause after an append without success.
 	pause time.Duration
 	timer *time.Timer
@@ -148,7 +149,7 @@
 // appends, it refuses the records that were not sent, and an empty append probes
 // whether the topic is back.
 func (w *Writer) pump(now time.Time) {
-	silent, refusing := w.IsSilent(), w.isRefusing()
+	silent, refusing := w.IsSilent(), w.isRefusing(now)
 	switch {
 	case silent:
 		w.refuseUnsent("the store does not answer")
@@ -257,7 +258,7 @@
 		w.repeats, w.pause, w.nextAt = 0, 0, time.Time{}
 	} else {
 		w.pause = min(max(2*w.pause, retryPause), maxRetryPause)
-		if w.isRefusing() {
+		if w.isRefusing(time.Now()) {
 			w.pause = min(w.pause, probeInterval)
 		}
 		w.nextAt = time.Now().Add(w.pause)
--- a/entry/intake/writer_test.go
+++ b/entry/intake/writer_test.go
@@ -205,6 +205,28 @@
 	})
 }
 
+// A store that had refused all appends is back while no caller comes. The first one after
+// the quiet time must not be refused for what was seen before it.
+func TestRefusalsAreForgottenInQuietTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		f := newFakeStore(2 * time.Millisecond)
+		f.refusing = true
+		w := NewWriter(NewStore(quiet(), f), "jobs")
+		callers([]*Writer{w}, 20, 50*time.Millisecond, 3*time.Second)
+		time.Sleep(2 * probeDuration)
+		f.mu.Lock()
+		f.refusing = false
+		f.mu.Unlock()
+		if err := w.Write(t.Context(), spar.Record{Key: "first"}); err != nil {
+			t.Errorf("the first write after the quiet time: %v", err)
+		}
+		if away := w.AwayFor(time.Now()); away != 0 {
+			t.Errorf("away for %s, want 0", away)
+		}
+	})
+}
+
 // Load pattern: callers go on while the store refuses everything. A record that waited
 // for the end of the pause after the last refusal would cost its caller a good part of
 // its time, and its next try the rest.
--- a/entry/jobapi/refuse.go
+++ b/entry/jobapi/refuse.go
@@ -10,11 +10,14 @@
 	"github.com/valyala/fasthttp"
 )
 
+// maxPatienceMS is the longest time in ms that a caller is taken to wait.
+const maxPatienceMS = 3_600_000
+
 // patience returns how long the caller waits, or 0 if it doesn't tell.
 func (s *Server) patience(c *fasthttp.RequestCtx) time.Duration {
 	if raw := c.Request.Header.Peek(s.format.TimeoutHeader); len(raw) > 0 {
 		if n, err := fasthttp.ParseUint(raw); err == nil {
-			return max(time.Duration(n), 1) * time.Millisecond
+			return time.Duration(min(max(n, 1), maxPatienceMS)) * time.Millisecond
 		}
 	}
 	return 0
--- a/entry/owner/tries.go
+++ b/entry/owner/tries.go
@@ -84,19 +84,24 @@
 	return NotTried
 }
 
-// forget drops the tries that are too old, or too many.
+// forget drops the tries that are too old, or too many, but none that is in progress.
 func (t *tries) forget(now time.Time) {
-	for len(t.order) > 0 {
-		e := t.byID[t.order[0]]
+	for range len(t.order) {
+		id := t.order[0]
+		e := t.byID[id]
 		isOld := e.open == 0 && now.Sub(e.endedAt) > triesMemory
 		if !isOld && len(t.order) <= maxTries {
 			return
 		}
+		t.order = t.order[1:]
+		if e.open > 0 {
+			t.order = append(t.order, id)
+			continue
+		}
 		if !isOld {
 			t.forgottenAt = now
 		}
-		delete(t.byID, t.order[0])
-		t.order = t.order[1:]
+		delete(t.byID, id)
 	}
 }
 
--- a/shard/explain.go
+++ b/shard/explain.go
@@ -7,7 +7,7 @@
 	"github.com/berylspar/spar"
 )
 
-// maxExplainedTasks bounds the unfinished tasks of a shard that is copied to explain a job,
+// maxExplainedTasks bounds the tasks of the active jobs of a shard that is copied to explain a job,
 // and so the time that the owner takes for an explanation.
 const maxExplainedTasks = 30_000
 
@@ -63,7 +63,7 @@
 // would be submitted now, without any effect. It returns false if the shard is too large
 // to be copied, or if the job has ended.
 func (sc *Scheduler) Explain(s spar.Job, now time.Time) (Explanation, bool) {
-	if j := sc.jobs[s.ID]; sc.unfinishedTasks() > maxExplainedTasks || j != nil && j.hasEnded() {
+	if j := sc.jobs[s.ID]; sc.countTasks() > maxExplainedTasks || j != nil && j.hasEnded() {
 		return Explanation{}, false
 	}
 	trial := sc.copyForPlan()
@@ -82,13 +82,13 @@
 	return out, true
 }
 
-// unfinishedTasks counts the tasks of the active jobs that are not done.
-func (sc *Scheduler) unfinishedTasks() int {
+// countTasks counts the tasks of the active jobs.
+func (sc *Scheduler) countTasks() int {
 	n := 0
 	for j := range sc.activeJobs {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				n += s.unfinished
+				n += len(s.tasks)
 			}
 		}
 	}
