--- a/guard/conn.go
+++ b/guard/conn.go
@@ -65,8 +65,13 @@
 // been closed.
 func (c *Conn) Hold() bool { return c.guard.move(c.entry, Session) }
 
-// begin notes that a request arrives.
-func (c *Conn) begin() { c.guard.move(c.entry, Reading) }
+// begin notes that a request arrives. The write deadline of the answer before it would
+// fail an interim answer to this one.
+func (c *Conn) begin() {
+	c.guard.move(c.entry, Reading)
+	// An error means that the connection is closed, which the next read tells.
+	_ = c.SetWriteDeadline(time.Time{})
+}
 
 // end notes that the request has been answered.
 func (c *Conn) end() {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -20,6 +20,8 @@
 const (
 	// reserveWait is how long a request waits for memory before it is refused.
 	reserveWait = time.Second
+	// sessionWait is the same for a message of an established session.
+	sessionWait = 5 * time.Second
 	// reserveRetry is the time after which more connections may be closed for it.
 	reserveRetry = 50 * time.Millisecond
 	// addRetry and maxAddTries bound how long a new connection waits for others to end.
@@ -218,7 +220,7 @@
 		case closed:
 			return net.ErrClosed
 		case timeout == nil:
-			timeout = time.After(reserveWait)
+			timeout = time.After(g.reserveWait(e))
 		}
 		select {
 		case <-released:
@@ -230,6 +232,17 @@
 	}
 }
 
+// reserveWait returns how long a connection waits for bytes. A session waits longer than
+// its other end stays silent, since all sessions would else end together.
+func (g *Guard) reserveWait(e *Entry) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e.phase == Session {
+		return sessionWait
+	}
+	return reserveWait
+}
+
 func (g *Guard) tryReserve(e *Entry, n int) (ok bool, released <-chan struct{}, closed bool) {
 	g.mu.Lock()
 	ok, victims := g.table.Reserve(e, n, g.now())
--- a/guard/http.go
+++ b/guard/http.go
@@ -97,7 +97,7 @@
 			c.refuseRequest(r, errTooLarge)
 			return
 		}
-		answer := c.entry.kind.answerReserve()
+		answer := c.entry.kind.answerReserve(r.Path())
 		err := c.readBody(r, maxBody, answer)
 		if err == nil && !g.move(c.entry, Handled) {
 			err = net.ErrClosed
@@ -116,6 +116,7 @@
 func (c *Conn) readBody(r *fasthttp.RequestCtx, maxBody, extra int) error {
 	size := r.Request.Header.ContentLength()
 	if !r.Request.IsBodyStream() || size == 0 {
+		c.guard.move(c.entry, Waiting)
 		return c.grow(extra)
 	}
 	if size < 0 {
@@ -159,6 +160,7 @@
 // setBody sets the body that has been read, and reserves what it may decode to.
 func (c *Conn) setBody(r *fasthttp.RequestCtx, body []byte, extra int) error {
 	r.Request.SetBodyRaw(body)
+	c.guard.move(c.entry, Waiting)
 	return c.grow(max(c.body, extra+len(body)*bodyCost+decodedBytes(body)))
 }
 
--- a/guard/kind.go
+++ b/guard/kind.go
@@ -1,5 +1,7 @@
 package guard
 
+import "bytes"
+
 // Kind is who connects to a listener.
 type Kind uint8
 
@@ -54,10 +56,19 @@
 	}
 }
 
-// answerReserve returns the bytes that are reserved for an answer.
-func (k Kind) answerReserve() int {
-	if k == Operators {
-		return answerBytes
+// largeAnswers are the paths, of all programs, at which operators get answers that may be
+// large. Peers, which ask at the same listeners, get small ones.
+var largeAnswers = []string{"/metrics", "/v1/", "/where", "/load"}
+
+// answerReserve returns the bytes that are reserved for the answer to a request.
+func (k Kind) answerReserve(path []byte) int {
+	if k != Operators {
+		return 0
+	}
+	for _, p := range largeAnswers {
+		if bytes.HasPrefix(path, []byte(p)) {
+			return answerBytes
+		}
 	}
 	return 0
 }
--- a/guard/rpc.go
+++ b/guard/rpc.go
@@ -95,6 +95,8 @@
 	}
 	if errors.Is(err, io.EOF) {
 		b.conn.guard.move(b.conn.entry, Handled)
+		// Else the deadline of the body would cancel the handler's context.
+		_ = b.conn.SetReadDeadline(time.Time{})
 	}
 	return n, err
 }
--- a/guard/server_test.go
+++ b/guard/server_test.go
@@ -162,3 +162,26 @@
 		before = bytes
 	}
 }
+
+// A kept connection that has been idle for longer than a client may take for an answer
+// must still be told to go on with its body.
+func TestIdleConnectionIsToldToContinue(t *testing.T) {
+	_, address := serve(t, guard.Limits{AnswerMS: 200}, guard.Callers, 1000)
+	c := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	reader := bufio.NewReader(c)
+	r, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		t.Fatal(err)
+	}
+	r.Body.Close()
+	time.Sleep(400 * time.Millisecond)
+	if _, err := c.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	if line, err := reader.ReadString('\n'); err != nil || !strings.Contains(line, "100") {
+		t.Errorf("interim answer %q, error %v", line, err)
+	}
+}
--- a/guard/table.go
+++ b/guard/table.go
@@ -15,6 +15,8 @@
 	Silent Phase = iota
 	// Reading means that a request is arriving.
 	Reading
+	// Waiting means that a request has arrived and waits for bytes.
+	Waiting
 	// Handled means that a request is being handled.
 	Handled
 	// Answering means that an answer is being written.
@@ -112,21 +114,25 @@
 }
 
 // Reserve reserves n bytes for a connection if there is room. If there is none, it
-// returns the connections to close, which may include e itself; the caller tries again
-// when bytes have been released. Idle connections are closed only for small requests.
+// returns the connections to close, none if they would not make room; the caller tries
+// again when bytes have been released. Idle connections are closed only for small
+// requests.
 func (t *Table) Reserve(e *Entry, n int, now time.Duration) (ok bool, victims []*Entry) {
 	small, size := n <= t.limit/smallShare, 0
 	if small {
 		size = 1
 	}
-	for t.used-t.leaving+n > t.limit && !e.evicted && now >= t.scanAfter[size] {
-		v := t.victim(now, func(o *Entry) bool { return small || o.phase != Idle }, readGrace)
-		if v == nil {
+	eligible := func(o *Entry) bool { return o != e && (small || o.phase != Idle) }
+	if t.used-t.leaving+n > t.limit && !e.evicted && now >= t.scanAfter[size] {
+		if t.used-t.leaving+n-t.evictable(now, eligible) > t.limit {
 			t.scanAfter[size] = now + scanInterval
-			break
+			return false, nil
+		}
+		for t.used-t.leaving+n > t.limit {
+			v := t.victim(now, eligible, readGrace)
+			t.evict(v)
+			victims = append(victims, v)
 		}
-		t.evict(v)
-		victims = append(victims, v)
 	}
 	if e.evicted || t.used+n > t.limit {
 		return false, victims
@@ -213,6 +219,17 @@
 	return best
 }
 
+// evictable returns the bytes of the eligible connections that could be closed.
+func (t *Table) evictable(now time.Duration, eligible func(*Entry) bool) int {
+	sum := 0
+	for e := range t.entries {
+		if !e.evicted && eligible(e) && e.rank(now, readGrace) > 0 {
+			sum += e.bytes
+		}
+	}
+	return sum
+}
+
 // held returns the bytes times the seconds that the connection has been in its phase.
 func (e *Entry) held(now time.Duration) float64 {
 	return float64(e.bytes) * (now - e.since).Seconds()
--- a/guard/table_test.go
+++ b/guard/table_test.go
@@ -128,3 +128,24 @@
 		t.Errorf("closed %v", victims)
 	}
 }
+
+// Answers a crowd of requests that are handled for long, as those of peers while the store
+// is slow: closing the connections of others would not make room for one more.
+func TestNothingIsClosedThatMakesNoRoom(t *testing.T) {
+	table := NewTable(1 << 20)
+	handled, _, _ := table.Add(Operators, 9, 0)
+	table.Reserve(handled, 900<<10, 0)
+	table.Move(handled, Handled, 0)
+	idle, _, _ := table.Add(Callers, 9, 0)
+	table.Move(idle, Idle, 0)
+	waiting, _, _ := table.Add(Callers, 9, 0)
+	table.Reserve(waiting, 20<<10, 0)
+	table.Move(waiting, Waiting, 0)
+	next, _, _ := table.Add(Callers, 9, 0)
+	if ok, victims := table.Reserve(next, 1<<20/32, time.Minute); !ok && len(victims) > 0 || table.Open() != 4 {
+		t.Errorf("%d connections closed, %d open, want 4", len(victims), table.Open())
+	}
+	if ok, victims := table.Reserve(next, 500<<10, time.Minute); ok || len(victims) > 0 {
+		t.Errorf("ok %v with %d connections closed, want none", ok, len(victims))
+	}
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -86,6 +86,7 @@
 	if err := c.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, errors.Wrap(err, "set read deadline")
 	}
+	c.releaseHeld()
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(c.reader, header[:]); err != nil {
 		return nil, errors.Wrap(err, "receive frame header")
@@ -126,14 +127,18 @@
 	return nil
 }
 
-// receiveBody reads n bytes into a buffer that grows as they arrive. Their memory stays
-// reserved until the next message.
-func (c *Conn[In, Out]) receiveBody(n int) ([]byte, error) {
-	memory, limited := c.conn.(Memory)
-	if limited && c.held > 0 {
+// releaseHeld releases the memory of the last message, which has been handled by now.
+func (c *Conn[In, Out]) releaseHeld() {
+	if memory, limited := c.conn.(Memory); limited && c.held > 0 {
 		memory.Release(c.held)
 		c.held = 0
 	}
+}
+
+// receiveBody reads n bytes into a buffer that grows as they arrive. Their memory stays
+// reserved until the next Receive.
+func (c *Conn[In, Out]) receiveBody(n int) ([]byte, error) {
+	memory, limited := c.conn.(Memory)
 	var body []byte
 	for size := min(n, firstFrameBytes); ; size = min(n, 2*size) {
 		// The buffer before stays until its bytes are copied.
