Guard: deadlines of the last answer and of a body do not outlast them

A new connection waits up to 500 ms, not 50, for those closed for it: TestStalledBodiesMakeRoom failed once more in 4 runs beside other load (connection reset); the cause is presumed, not traced.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -65,8 +65,16 @@
 // been closed.
 func (c *Conn) Hold() bool { return c.guard.move(c.entry, Session) }
 
-// begin notes that a request arrives.
-func (c *Conn) begin() { c.guard.move(c.entry, Reading) }
+// begin notes that a request arrives. The write deadline of the last answer is renewed for
+// what is written before the next one.
+func (c *Conn) begin() {
+	c.guard.move(c.entry, Reading)
+	l := c.guard.limits
+	if err := c.SetWriteDeadline(time.Now().Add(l.header() + l.body() + l.answer())); err != nil {
+		// The connection has been closed, which the next read reports.
+		return
+	}
+}
 
 // end notes that the request has been answered.
 func (c *Conn) end() {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -24,7 +24,7 @@
 	reserveRetry = 50 * time.Millisecond
 	// addRetry and maxAddTries bound how long a new connection waits for others to end.
 	addRetry    = 10 * time.Millisecond
-	maxAddTries = 5
+	maxAddTries = 50
 	// reportInterval is the least time between two updates of the gauges, beside those when
 	// a connection opens or ends.
 	reportInterval = 100 * time.Millisecond
--- a/guard/rpc.go
+++ b/guard/rpc.go
@@ -95,6 +95,9 @@
 	}
 	if errors.Is(err, io.EOF) {
 		b.conn.guard.move(b.conn.entry, Handled)
+		if e := b.conn.SetReadDeadline(time.Time{}); e != nil {
+			return n, e
+		}
 	}
 	return n, err
 }
--- a/guard/server_test.go
+++ b/guard/server_test.go
@@ -162,3 +162,18 @@
 		before = bytes
 	}
 }
+
+// Answers a caller whose kept connection was idle for longer than an answer may take: it
+// is still told to send its body.
+func TestKeptConnectionIsToldToContinue(t *testing.T) {
+	_, address := serve(t, guard.Limits{AnswerMS: 100}, guard.Callers, 1<<20)
+	c := dial(t, address, announce(1)+"x")
+	if status, _, _ := answer(t, c); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	time.Sleep(200 * time.Millisecond)
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	if status, _, body := answer(t, c); status != 100 {
+		t.Errorf("%d %q", status, body)
+	}
+}
