--- a/guard/conn.go
+++ b/guard/conn.go
@@ -65,12 +65,15 @@
 // been closed.
 func (c *Conn) Hold() bool { return c.guard.move(c.entry, Session) }
 
-// begin notes that a request arrives. The write deadline of the answer before it would
-// fail an interim answer to this one.
+// begin notes that a request arrives. The write deadline of the last answer is renewed for
+// what is written before the next one.
 func (c *Conn) begin() {
 	c.guard.move(c.entry, Reading)
-	// An error means that the connection is closed, which the next read tells.
-	_ = c.SetWriteDeadline(time.Time{})
+	l := c.guard.limits
+	if err := c.SetWriteDeadline(time.Now().Add(l.header() + l.body() + l.answer())); err != nil {
+		// The connection has been closed, which the next read reports.
+		return
+	}
 }
 
 // end notes that the request has been answered.
