--- a/review/rig/rig_test.go
+++ b/review/rig/rig_test.go
@@ -183,7 +183,6 @@
 		"{{ip}}", ip, "{{portRange.1}}", "7735", "{{portRange.0}}", "7720", "{{node}}", node, "{{zone}}", zone,
 		"{{listenAddrs.front}}", ip+":8161", "{{listenAddrs.ready}}", ip+":8167", "{{listenAddrs.control}}", ip+":8166",
 		"{{advice}}", "", "{{platform.address}}", store, "{{bounds.holdMaxMs}}", "6000", "{{platform.ttlMinMs}}", "1000", "{{platform.parts}}", "12",
-		"{{limits.memoryMb}}", "152", "{{limits.maxFds}}", "4096",
 	).Replace(string(t)))
 }
 
