--- a/codec/codec.go
+++ b/codec/codec.go
@@ -1,10 +1,9 @@
 // Package codec decodes stored records and messages. It rejects lengths that the
-// data cannot hold, for which the MessagePack library would allocate memory first.
+// data cannot hold, for which the MessagePack library would allocate memory first, and
+// nesting that would exhaust its stack.
 package codec
 
 import (
-	"bytes"
-
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -13,7 +12,7 @@
 // is wrong with the data.
 func Decode[T any](data []byte) (T, error) {
 	var out T
-	if err := msgpack.NewDecoder(bytes.NewReader(data)).Skip(); err != nil {
+	if _, err := DecodedBytes(data); err != nil {
 		return out, errors.Wrapf(err, "%d bytes are not a whole value", len(data))
 	}
 	err := msgpack.Unmarshal(data, &out)
--- a/entry/batch/daemon.go
+++ b/entry/batch/daemon.go
@@ -19,10 +19,12 @@
 	"github.com/berylspar/spar/entry/config"
 	"github.com/berylspar/spar/entry/jobapi"
 	"github.com/berylspar/spar/entry/owner"
+	"github.com/berylspar/spar/guard"
 	"github.com/berylspar/spar/link"
 	"github.com/berylspar/spar/platform"
 	"github.com/berylspar/spar/track"
 	"github.com/cockroachdb/errors"
+	"github.com/fasthttp/router"
 	"go.uber.org/dig"
 )
 
@@ -81,7 +83,7 @@
 		},
 		func(c *platform.Client) spar.Adviser { return newAdviser(c, s.Adviser) },
 		func(c common.Common, st spar.Store, ad spar.Adviser, w *config.Watcher, l *listeners) *owner.Candidate {
-			return owner.NewCandidate(c, s.Owner, st, ad, w, newMemberName(s.Name), link.EntryRecord{AgentAddress: cmp.Or(s.ReachAgents, s.Agents), PeerAddress: s.Admin}, l.agents, clock.Now, owner.NewHTTPPeers())
+			return owner.NewCandidate(c, s.Owner, st, ad, w, newMemberName(s.Name), link.EntryRecord{AgentAddress: cmp.Or(s.ReachAgents, s.Agents), PeerAddress: s.Admin}, c.Guard.Listen(l.agents, guard.Agents), clock.Now, owner.NewHTTPPeers())
 		},
 		owner.NewClient,
 		func(c *owner.Client) jobapi.Jobs { return c },
@@ -146,7 +148,10 @@
 	d.Info("entry starts", "name", p.Settings.Name, "domain", p.Settings.Domain, "listen", p.Settings.Listen)
 	// A process that takes part in the election holds its admin address: when another
 	// one listens there, this one is over and grants no more leases.
-	metrics, err := common.ServeAdmin(serveCtx, p.Settings.Admin, p.Base, p.Candidate.AddRoutes)
+	metrics, err := common.ServeAdmin(serveCtx, p.Settings.Admin, p.Base, func(r *router.Router) {
+		p.Candidate.AddRoutes(r)
+		p.Server.AddRoutes(serveCtx, r)
+	}, p.Candidate.MaxRequestBytes())
 	if err != nil {
 		return err
 	}
--- a/entry/intake/writer.go
+++ b/entry/intake/writer.go
@@ -65,8 +65,11 @@
 	calledAt time.Time
 	// mean is the moving mean of the duration of an append.
 	mean time.Duration
-	// repeats counts the repeats since the last success.
-	repeats int
+	// repeats counts the repeats since the last success, and refusals the appends in a
+	// row that the store has refused; refusedSince and refusedAt are when the first and
+	// the last of them ended.
+	repeats, refusals       int
+	refusedSince, refusedAt time.Time
 	// pause is the last pause after an append without success.
 	pause time.Duration
 	timer *time.Timer
@@ -142,14 +145,18 @@
 }
 
 // pump starts the next append if it is due, and has the timer call it again while
-// there is something to do. While the topic is silent it refuses the records that
-// were not sent, and an empty append probes whether the topic answers.
+// there is something to do. While the topic is silent, or the store refuses all
+// appends, it refuses the records that were not sent, and an empty append probes
+// whether the topic is back.
 func (w *Writer) pump(now time.Time) {
-	silent := w.IsSilent()
-	if silent {
-		w.refuseUnsent()
+	silent, refusing := w.IsSilent(), w.isRefusing(now)
+	switch {
+	case silent:
+		w.refuseUnsent("the store does not answer")
+	case refusing:
+		w.refuseUnsent("the store refuses all appends")
 	}
-	probe := silent && w.door.IsClosed(now) && now.Sub(w.calledAt) < probeDuration
+	probe := (silent && w.door.IsClosed(now) || refusing) && now.Sub(w.calledAt) < probeDuration
 	if len(w.open) == 0 && !probe {
 		return
 	}
@@ -190,10 +197,10 @@
 }
 
 // refuseUnsent refuses the records that no append contained.
-func (w *Writer) refuseUnsent() {
+func (w *Writer) refuseUnsent(reason string) {
 	for _, it := range append([]*item(nil), w.open...) {
 		if !it.sent {
-			w.resolve(it, errors.Mark(errors.New("the store does not answer"), spar.ErrRefused))
+			w.resolve(it, errors.Mark(errors.New(reason), spar.ErrRefused))
 		}
 	}
 }
@@ -251,8 +258,12 @@
 		w.repeats, w.pause, w.nextAt = 0, 0, time.Time{}
 	} else {
 		w.pause = min(max(2*w.pause, retryPause), maxRetryPause)
+		if w.isRefusing(time.Now()) {
+			w.pause = min(w.pause, probeInterval)
+		}
 		w.nextAt = time.Now().Add(w.pause)
 	}
+	w.countRefusal(err)
 	if len(batch) > 1 && errors.Is(err, spar.ErrInvalid) {
 		// The content that is refused may be that of another record.
 		err = errors.Mark(errors.Newf("append of %d records: %v", len(batch), err), spar.ErrRefused)
--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -53,6 +53,8 @@
 	t.scheduler.Tick(now, now)
 	if t.isValid() && t.checkInputs(now) {
 		t.scheduler.Plan(now)
+		t.reportBacklog(now)
+		t.reportFills(now)
 		if t.adviser != nil {
 			requests = t.scheduler.AdviceRequests(now)
 		}
@@ -70,6 +72,7 @@
 			t.departures.prepared()
 		}
 	}
+	t.passTime.Store(int64(time.Since(now)))
 	t.stateMu.Unlock()
 	for _, q := range requests {
 		go t.requestAdvice(t.ctx, q)
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/admit"
 	"github.com/berylspar/spar/interf"
+	"github.com/berylspar/spar/triage"
 	"github.com/cockroachdb/errors"
 )
 
@@ -21,6 +23,11 @@
 	// RecordBytes is the largest value of a record that the store accepts, or 0 for
 	// defaultRecordBytes.
 	RecordBytes int
+	// Order decides which jobs get room first.
+	Order triage.Policy
+	// FillHarm is for how many task-seconds a core-second of a fill may bring serving
+	// tasks over their targets; 0 has fills keep to slack budgets alone.
+	FillHarm float64
 }
 
 func (l Limits) recordBytes() int { return cmp.Or(l.RecordBytes, defaultRecordBytes) }
@@ -74,11 +81,24 @@
 	pool              []*candidate
 	poolAt, plannedAt time.Time
 	interference      interf.Model
+	// loads is the load of each service at loadAt.
+	loads  map[string]admit.Service
+	loadAt time.Time
+	// swings has observations if harm is limited.
+	swings interf.Swings
+	// overTarget is the time for which serving tasks were over their targets beside
+	// fills since fillsSummarizedAt.
+	overTarget        time.Duration
+	fillsSummarizedAt time.Time
 	// storedModel is the last stored form of interference, and modelCheckedAt
 	// the last time at which PrepareCommit compared the two.
 	storedModel    []byte
 	modelCheckedAt time.Time
 	waits          waits
+	// runTimes are the run times that were learnt, by queue.
+	runTimes map[string]*triage.RunTimes
+	// poolRooms are the rooms that were observed.
+	poolRooms map[triage.Pool]poolRoom
 	// now is the time of the latest Tick or HandleReport call, and wall the time of day
 	// at the latest Tick.
 	now, wall time.Time
@@ -91,7 +111,7 @@
 	return &Scheduler{
 		limits: l, queues: map[string]spar.Queue{}, closedDomains: map[string]bool{},
 		jobs: map[string]*job{}, activeJobs: map[*job]bool{}, earlyCancels: map[string]time.Time{},
-		workers: map[string]*worker{}, lifeEnds: map[string]int64{}, grantedLives: map[string]grantedLife{}, suspects: map[*task]bool{}, changedJobs: map[*job]bool{},
+		runTimes: map[string]*triage.RunTimes{}, poolRooms: map[triage.Pool]poolRoom{}, workers: map[string]*worker{}, lifeEnds: map[string]int64{}, grantedLives: map[string]grantedLife{}, suspects: map[*task]bool{}, changedJobs: map[*job]bool{},
 		pendingStops: map[*run]bool{}, pendingPaces: map[*run]bool{}, pendingAcks: map[*worker]int64{}, onEvent: onEvent,
 	}
 }
@@ -187,6 +207,7 @@
 	if sc.activeJobs[j] {
 		delete(sc.activeJobs, j)
 		sc.interference.ForgetJob(j.ID)
+		sc.swings.ForgetJob(j.ID)
 		sc.retiredJobs = append(sc.retiredJobs, j)
 	}
 }
@@ -238,39 +259,6 @@
 	}
 }
 
-// JobFailure returns why a job has failed, or "" if it has not or the reason was
-// not stored.
-func (sc *Scheduler) JobFailure(id string) string {
-	if j := sc.jobs[id]; j != nil && j.reportedState == Failed {
-		return j.failure
-	}
-	return ""
-}
-
-// JobState returns the state of a job as it is stored, and whether the job is
-// known.
-func (sc *Scheduler) JobState(id string) (State, bool) {
-	j := sc.jobs[id]
-	if j == nil {
-		return "", false
-	}
-	if j.reportedState == Queued && j.started {
-		return Active, true
-	}
-	return j.reportedState, true
-}
-
-// WaitingJobs counts the jobs of a queue of which no task has started.
-func (sc *Scheduler) WaitingJobs(queue string) int {
-	n := 0
-	for j := range sc.activeJobs {
-		if j.Queue == queue && !j.started {
-			n++
-		}
-	}
-	return n
-}
-
 // Tick removes workers whose leases have expired, adds occurrences that are due and
 // reports standing tasks that do not run.
 // now is a monotonic time and wall the time of day.
