--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -209,8 +209,8 @@
 }
 
 // storeWithRetry repeats a write until the store has answered or the caller's
-// time is over. It refuses the request only if no try
-// of the write, nor an earlier one that is in doubt, can have been carried out.
+// time is over. It refuses the request only if no try of the write, nor an earlier one
+// that is in doubt, can have been carried out.
 func (s *Server) storeWithRetry(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id, message string, inDoubt bool, write func() error) {
 	unanswered, begun := 0, time.Now()
 	for {
