--- a/beryl/cmds/runner.go
+++ b/beryl/cmds/runner.go
@@ -56,7 +56,7 @@
 		{"domain open", "NAME", "let a failure domain return; waits until in force", (*Runner).domainOpen},
 		{"job submit", "-job NAME -kind KIND [-tasks N] [-run-ms N]", "submit a batch job", (*Runner).jobSubmit},
 		{"job show", "NAME", "tell where each task of a job is, and why", (*Runner).jobShow},
-		{"job where", "[-json] ID | [-json] -queue NAME FILE | [-json] -host HOST -path PATH FILE", "tell where the tasks of a batch job would go now, and why; sends nothing (- reads standard input)", (*Runner).jobWhere},
+		{"job where", "[-json] ID | [-json] -queue NAME FILE | [-json] -host HOST -path PATH [-method METHOD] [-size BYTES] [FILE]", "tell where the tasks of a batch job would go now, and why; sends nothing (- reads standard input)", (*Runner).jobWhere},
 		{"job list", "", "list the jobs", (*Runner).jobList},
 		{"job cancel", "NAME", "cancel a job", (*Runner).jobCancel},
 		{"workers", "", "list the workers that are known", (*Runner).workers},
--- a/beryl/cmds/where.go
+++ b/beryl/cmds/where.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -25,6 +26,7 @@
 		Priority int     `json:"priority"`
 		Stretch  float64 `json:"stretch"`
 	} `json:"queue"`
+	Request       string        `json:"request"`
 	Configuration int64         `json:"configuration"`
 	ConfigAge     time.Duration `json:"configuration_age_ns"`
 	Owner         whereOwner    `json:"owner"`
@@ -81,16 +83,21 @@
 	queue := flags.String("queue", "", "`name` of the queue that the job would be sent to")
 	host := flags.String("host", "", "`host` of the request, in place of -queue")
 	path := flags.String("path", "", "`path` of the request, with -host")
+	requestMethod := flags.String("method", "", "`method` of a request without a job, with -host")
+	bytes := flags.Uint("size", 0, "size of the request's body in `bytes`, with -host and without a job")
 	asJSON := flags.Bool("json", false, "print the answer as JSON")
 	if err := r.parse(flags, args); err != nil {
 		return err
 	}
 	isNew := *queue != "" || *host != ""
-	if flags.NArg() != 1 || *queue != "" && *host != "" {
-		return errors.Mark(errors.New("want the ID of a job, or -queue or -host and -path with the FILE of a job"), ErrUsage)
+	isRequest := *host != "" && flags.NArg() == 0
+	if flags.NArg() != 1 && !isRequest || *queue != "" && *host != "" {
+		return errors.Mark(errors.New("want the ID of a job, or -queue or -host and -path with the FILE of a job, or -host, -path and -method of a request"), ErrUsage)
 	}
 	method, target, body := http.MethodGet, "/where/"+url.PathEscape(flags.Arg(0)), []byte(nil)
-	if isNew {
+	if isRequest {
+		method, target = http.MethodPost, "/where?"+url.Values{"host": {*host}, "path": {*path}, "method": {*requestMethod}, "size": {strconv.FormatUint(uint64(*bytes), 10)}}.Encode()
+	} else if isNew {
 		var err error
 		if body, err = r.readJob(flags.Arg(0)); err != nil {
 			return err
@@ -132,6 +139,10 @@
 func (r *Runner) printWhere(a whereAnswer) {
 	o := a.Owner
 	fmt.Fprintf(r.Out, "queue %s: service %s, priority %d; configuration %d, read %s ago\n", cmp.Or(a.Queue.Name, "not known here"), a.Queue.Service, a.Queue.Priority, a.Configuration, short(a.ConfigAge))
+	if a.Request != "" {
+		fmt.Fprintf(r.Out, "request: %s\n", a.Request)
+		return
+	}
 	fmt.Fprintf(r.Out, "owner: for %s, %d workers\n", short(o.OwnerFor), o.Workers)
 	switch {
 	case o.Ended != "":
--- a/entry/jobapi/where_test.go
+++ b/entry/jobapi/where_test.go
@@ -22,6 +22,11 @@
 	}{
 		{"/where?queue=none", job, fasthttp.StatusNotFound, `"field":"queue"`},
 		{"/where?host=desk.example&path=/none/", job, fasthttp.StatusNotFound, `"field":"path"`},
+		{"/where?queue=q&size=2000000", "", fasthttp.StatusRequestEntityTooLarge, "at most 1048576"},
+		{"/where?host=desk.example&path=/q/&method=GET", "", fasthttp.StatusOK, "length of the queue"},
+		{"/where?host=desk.example&path=/q/5c0e7a21d94b36f8&method=DELETE", "", fasthttp.StatusOK, "cancels job 5c0e7a21d94b36f8"},
+		{"/where?host=desk.example&path=/q/5c0e7a21d94b36f8&method=PUT", "", fasthttp.StatusOK, "answered 405"},
+		{"/where?host=desk.example&path=/q/x&method=POST", "", fasthttp.StatusOK, "answered 400"},
 		{"/where?queue=q", `{"steps":[{"count":-1}]}`, fasthttp.StatusBadRequest, "steps[0].count"},
 		{"/where?queue=q", job, fasthttp.StatusServiceUnavailable, "no owner of the shard"},
 		{"/where?host=desk.example&path=/q/5c0e7a21d94b36f8", job, fasthttp.StatusServiceUnavailable, "no owner of the shard"},
--- a/prove/soak/where_test.go
+++ b/prove/soak/where_test.go
@@ -38,6 +38,9 @@
 			t.Fatalf("the job was submitted: %s", out)
 		}
 	}
+	if out = beryl(t, d.entries[0], "job", "where", "-host", host, "-path", prefix, "-method", "GET"); !strings.Contains(out, "request: tells the length of the queue") {
+		t.Errorf("a request without a job: %s", out)
+	}
 	if out = beryl(t, d.entries[0], "job", "where", "-host", host, "-path", "/none/", file); !strings.Contains(out, "path: no such queue") {
 		t.Errorf("a path without a queue: %s", out)
 	}
