One objective, one rule for open workers, one JSON answer

The objective of a queue was computed in three places and is a method of spar.Queue now; the load and Plan share the rule which workers are open; entry/jobapi and entry/owner had the same JSON answer, which is common.WriteJSON.

--- a/admit/request.go
+++ b/admit/request.go
@@ -44,7 +44,7 @@
 // is the longest chain of its steps, by their estimates.
 func NewRequest(j *spar.Job, shortestPath time.Duration) Request {
 	q := j.Policy
-	r := Request{ID: j.ID, Service: q.Service, Priority: q.Priority, Objective: time.Duration(q.Stretch*float64(shortestPath)) + q.Slack}
+	r := Request{ID: j.ID, Service: q.Service, Priority: q.Priority, Objective: q.Objective(shortestPath)}
 	for _, s := range j.Steps {
 		r.Standing = r.Standing || s.Standing
 		r.Work += time.Duration(s.Count) * s.Estimate * time.Duration(max(s.Size.CPUMilli, 1)) / 1000
--- a/batch.go
+++ b/batch.go
@@ -216,6 +216,12 @@
 	Advised bool `msgpack:"a,omitempty"`
 }
 
+// Objective returns the time in which a job should complete whose critical path takes a
+// given time.
+func (q Queue) Objective(criticalPath time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(criticalPath)) + q.Slack
+}
+
 // Rules is the operators' configuration in force.
 type Rules struct {
 	Version int64
--- a/entry/jobapi/where.go
+++ b/entry/jobapi/where.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strconv"
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/entry/owner"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
@@ -161,24 +161,15 @@
 	if rules := s.config.Load().Rules; rules != nil {
 		out.Configuration = rules.Version
 	}
-	writeJSON(c, out)
+	common.WriteJSON(c, out)
 }
 
 // refuseQuestion answers a question that cannot be answered. field names what is wrong
 // with it, if anything is.
 func refuseQuestion(c *fasthttp.RequestCtx, status int, field, text string) {
 	c.SetStatusCode(status)
-	writeJSON(c, struct {
+	common.WriteJSON(c, struct {
 		Field string `json:"field,omitempty"`
 		Error string `json:"error"`
 	}{field, text})
 }
-
-func writeJSON(c *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode answer"))
-	}
-	c.SetContentType("application/json")
-	c.SetBody(body)
-}
--- a/entry/owner/admission.go
+++ b/entry/owner/admission.go
@@ -8,6 +8,7 @@
 
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/admit"
+	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/shard"
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
@@ -205,7 +206,7 @@
 
 // addAdmissionRoutes adds the routes that other entries call.
 func (c *Candidate) addAdmissionRoutes(r *router.Router) {
-	r.GET(triesPath+"{id}", func(rc *fasthttp.RequestCtx) { writeReply(rc, c.triesOf(rc.UserValue("id").(string))) })
+	r.GET(triesPath+"{id}", func(rc *fasthttp.RequestCtx) { common.WriteJSON(rc, c.triesOf(rc.UserValue("id").(string))) })
 	r.GET("/load", func(rc *fasthttp.RequestCtx) {
 		t := c.servingTerm()
 		if t == nil {
@@ -213,7 +214,7 @@
 			return
 		}
 		l := t.load(time.Now())
-		writeReply(rc, loadReply{AgeMS: l.Age.Milliseconds(), Services: l.Services})
+		common.WriteJSON(rc, loadReply{AgeMS: l.Age.Milliseconds(), Services: l.Services})
 	})
 	r.POST(admissionPath, func(rc *fasthttp.RequestCtx) {
 		var q admit.Request
@@ -222,15 +223,6 @@
 			rc.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
 		}
-		writeReply(rc, t.admit(q))
+		common.WriteJSON(rc, t.admit(q))
 	})
 }
-
-func writeReply(rc *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode reply"))
-	}
-	rc.SetContentType("application/json")
-	rc.SetBody(body)
-}
--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -201,5 +201,5 @@
 			r.Load = &loadReply{AgeMS: l.Age.Milliseconds(), Services: l.Services}
 		}
 	}
-	writeReply(rc, r)
+	common.WriteJSON(rc, r)
 }
--- a/entry/owner/explain.go
+++ b/entry/owner/explain.go
@@ -9,6 +9,7 @@
 	"github.com/berylspar/spar"
 	"github.com/berylspar/spar/admit"
 	"github.com/berylspar/spar/codec"
+	"github.com/berylspar/spar/common"
 	"github.com/berylspar/spar/shard"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -138,6 +139,6 @@
 	case err != nil:
 		rc.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default:
-		writeReply(rc, e)
+		common.WriteJSON(rc, e)
 	}
 }
--- a/shard/explain.go
+++ b/shard/explain.go
@@ -74,7 +74,7 @@
 	trial.Plan(now)
 	for _, o := range j.occurrences {
 		out.Path = o.criticalPath
-		out.Objective = time.Duration(j.policy.Stretch*float64(o.criticalPath)) + j.policy.Slack
+		out.Objective = j.policy.Objective(o.criticalPath)
 		for _, st := range o.steps {
 			out.Steps = append(out.Steps, trial.explainStep(st, now))
 		}
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -52,7 +52,7 @@
 	var out []*candidate
 	for _, w := range sc.workers {
 		w.decayFailureScore(now)
-		if w.token == 0 || !w.listed || w.info.Draining || sc.closedDomains[w.info.Domain] || now.Before(w.avoidUntil) {
+		if !w.isOpen(sc) || now.Before(w.avoidUntil) {
 			continue
 		}
 		out = append(out, &candidate{worker: w, allocation: w.allocation(now), mayBeDisturbed: w.mayBeDisturbed(now), isLastResort: now.Before(w.failingUntil) || sc.isReserved(w, now)})
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -118,8 +118,7 @@
 
 // objective is the time in which an occurrence should complete.
 func (s *step) objective() time.Duration {
-	p := s.job.policy
-	return time.Duration(p.Stretch*float64(s.occurrence.criticalPath)) + p.Slack
+	return s.job.policy.Objective(s.occurrence.criticalPath)
 }
 
 // trueFirst compares two booleans and orders true before false.
