--- /dev/null
+++ b/review/lab/lives.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// jobSpec is a task that takes longer than a case looks on.
+	jobSpec  = "ms=20000 cpu=2000 mem=1024"
+	jobTasks = 6
+)
+
+var workerSize = Size{CPU: 16000, Mem: 62500}
+
+func jobSteps() []step {
+	return []step{{"count": jobTasks, "cpu": 2000, "memMb": 1024, "estDurationMs": 20000}}
+}
+
+// submitAndAwait hands a job in and waits until its tasks are at work, some of them on the
+// first worker.
+func submitAndAwait(s *System, id string) error {
+	if err := s.Submit(id, jobSpec, jobSteps()); err != nil {
+		return err
+	}
+	w := s.Workers[0]
+	if !await(10*time.Second, func() bool { return len(s.truth.Of(id)) >= jobTasks && w.RunCount() > 0 }) {
+		return fmt.Errorf("%w: no task of job %s is at work on the first worker", errNotRun, id)
+	}
+	time.Sleep(2 * time.Second)
+	return nil
+}
+
+// lateReport: a status report of an earlier boot of a worker arrives after its sender has
+// crashed and a new boot has registered at the same address. It is delivered to an agent
+// that was stopped by plan and started again.
+func lateReport(rec *Record, repo string, trouble bool) ([]string, error) {
+	s, err := newSystem(rec, repo, options{entries: 3, workers: 4, capacity: workerSize})
+	if s != nil {
+		defer s.Close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	w, agent := s.Workers[0], s.Agents[0]
+	path, body := w.Report()
+	rec.Log("a status report of %s is held up on its way to %s: %s", path, w.control, body)
+	w.End("crashed")
+	time.Sleep(4 * time.Second)
+	if err := w.Boot("i-1-2"); err != nil {
+		return nil, err
+	}
+	if !await(10*time.Second, func() bool { return w.Holds() > 2 }) {
+		return nil, fmt.Errorf("%w: the new boot is not held", errNotRun)
+	}
+	if err := submitAndAwait(s, "00000000000000a1"); err != nil {
+		return nil, err
+	}
+	w.AwaitReport()
+	if err := agent.Stop(5 * time.Second); err != nil {
+		return nil, err
+	}
+	if err := agent.Start(); err != nil {
+		return nil, err
+	}
+	if trouble {
+		arrived := await(time.Second, func() bool {
+			code, err := put(w.control, path, body)
+			if err == nil {
+				rec.Log("the status report that was held up arrives: answer %d", code)
+			}
+			return err == nil
+		})
+		if !arrived {
+			return nil, fmt.Errorf("%w: the agent doesn't listen", errNotRun)
+		}
+	}
+	time.Sleep(8 * time.Second)
+	return s.truth.Overlaps(), nil
+}
+
+// foreignReport: a status report from another writer arrives, which names a service that
+// the configuration doesn't have.
+func foreignReport(rec *Record, repo string, trouble bool) ([]string, error) {
+	s, err := newSystem(rec, repo, options{entries: 3, workers: 4, capacity: workerSize})
+	if s != nil {
+		defer s.Close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := submitAndAwait(s, "00000000000000b1"); err != nil {
+		return nil, err
+	}
+	w := s.Workers[0]
+	if trouble {
+		ports, err := freePorts(1)
+		if err != nil {
+			return nil, err
+		}
+		body, _ := json.Marshal(map[string]any{
+			"service": "printing", "address": ports[0], "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+			"capacity": workerSize, "labels": []string{"a"}, "clockMs": 1000, "born": time.Now().UnixMilli(), "seq": 1,
+		})
+		code, err := put(w.control, "/instances/p-77", body)
+		rec.Log("a status report of another writer arrives at %s: %s: answer %d, error %v", w.control, body, code, err)
+	}
+	time.Sleep(8 * time.Second)
+	return s.truth.Overlaps(), nil
+}
+
+// resetLeave: connections of a side machine are reset while its worker deregisters, so
+// that the worker gets no confirmation and ends some seconds later.
+func resetLeave(rec *Record, repo string, trouble bool) ([]string, error) {
+	var mu sync.Mutex
+	var failed error
+	proxies := map[string]*Proxy{}
+	through := func(name string) func(int, string) string {
+		return func(i int, address string) string {
+			if i > 0 {
+				return address
+			}
+			p, err := NewProxy(address)
+			if err != nil {
+				failed = err
+				return address
+			}
+			proxies[name] = p
+			return p.Address()
+		}
+	}
+	s, err := newSystem(rec, repo, options{entries: 3, workers: 4, capacity: workerSize, control: through("control"), app: through("app")})
+	if s != nil {
+		defer s.Close()
+	}
+	if err != nil || failed != nil {
+		return nil, fmt.Errorf("%w %v", err, failed)
+	}
+	if err := submitAndAwait(s, "00000000000000c1"); err != nil {
+		return nil, err
+	}
+	w := s.Workers[0]
+	w.Drain()
+	rec.Log("worker %s reports that it is draining", w.id)
+	time.Sleep(4 * time.Second)
+	if trouble {
+		proxies["control"].SetOnAnswer(func(request []byte) bool {
+			if !strings.HasPrefix(string(request), "DELETE ") {
+				return true
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			n := proxies["app"].Reset() + proxies["control"].Reset()
+			rec.Log("%d connections between the side machine and its worker are reset", n)
+			return false
+		})
+	}
+	code, err := call(http.MethodDelete, w.control, "/instances/"+w.id, nil)
+	rec.Log("worker %s sends DELETE /instances/%s: answer %d, error %v", w.id, w.id, code, err)
+	if err == nil && code == http.StatusOK {
+		w.End("left")
+	} else {
+		rec.Log("worker %s got no confirmation and ends in 3 s", w.id)
+		time.Sleep(3 * time.Second)
+		w.End("left")
+	}
+	time.Sleep(5 * time.Second)
+	return s.truth.Overlaps(), nil
+}
