--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -15,11 +15,11 @@
 type scenario func(rec *Record, repo string, trouble bool) ([]string, error)
 
 var scenarios = map[string]scenario{
-	"late-report":    lateReport,
-	"foreign-report": foreignReport,
-	"reset-leave":    resetLeave,
-	"wide-gang":      wideGang,
-	"many-tasks":     manyTasks,
+	"late-report": lateReport,
+	"reset-leave": resetLeave,
+	"crash-gang":  crashGang,
+	"wide-gang":   wideGang,
+	"many-tasks":  manyTasks,
 }
 
 func main() {
