--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -19,7 +19,7 @@
 	"reset-leave": resetLeave,
 	"crash-gang":  crashGang,
 	"wide-gang":   wideGang,
-	"many-tasks":  manyTasks,
+	"late-crash":  lateCrash,
 }
 
 func main() {
--- a/review/lab/system.go
+++ b/review/lab/system.go
@@ -323,6 +323,7 @@
 // Close ends all processes and removes the folder, but for the logs if KEEP is set.
 func (s *System) Close() {
 	for _, w := range s.Workers {
+		w.closed.Store(true)
 		w.End("the case is over")
 	}
 	for _, p := range s.Agents {
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,7 +32,8 @@
 
 // Worker stands in for a worker of the platform. It has one life after another at the same
 // address. A task's work is named by the words ms=N cpu=N mem=N of its specification;
-// ms=0 lasts until it is stopped, and gang=N says that the task is one of N of a gang.
+// ms=0 lasts until it is stopped, gang=N says that the task is one of N of a gang, and crash=N
+// that it crashes its worker after that many milliseconds.
 type Worker struct {
 	rec     *Record
 	truth   *Truth
@@ -60,8 +62,10 @@
 	stopBeat chan struct{}
 	// control is where heartbeats go.
 	control string
-	// Holds counts answered hold calls of this life.
+	// holds counts answered hold calls of this life.
 	holds int
+	// closed reports that no further life begins.
+	closed atomic.Bool
 }
 
 type workerRun struct {
@@ -74,6 +78,8 @@
 	begun    time.Time
 	// gang is set for a member of a gang.
 	gang *gangRun
+	// crashAt is when the run crashes its worker, or zero.
+	crashAt time.Time
 }
 
 type workerEnd struct {
@@ -147,10 +153,33 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 		w.mu.Lock()
+		crash := false
 		if w.up {
 			w.endDue()
+			for _, r := range w.runs {
+				crash = crash || !r.crashAt.IsZero() && time.Now().After(r.crashAt)
+			}
 		}
 		w.mu.Unlock()
+		if crash {
+			go w.crashAndBoot()
+			return
+		}
+	}
+}
+
+// crashAndBoot ends the life by a crash and begins the next one some seconds later.
+func (w *Worker) crashAndBoot() {
+	id := w.id
+	w.End("crashed")
+	time.Sleep(downTime)
+	if w.closed.Load() {
+		return
+	}
+	number := strings.LastIndexByte(id, '-')
+	n, _ := strconv.Atoi(id[number+1:])
+	if err := w.Boot(fmt.Sprintf("%s-%d", id[:number], n+1)); err != nil {
+		w.rec.Log("worker %s does not boot again: %v", id, err)
 	}
 }
 
@@ -280,6 +309,9 @@
 	} else if run.work > 0 {
 		run.finishAt = run.begun.Add(run.work)
 	}
+	if after := number(o.Spec, "crash"); after > 0 {
+		run.crashAt = run.begun.Add(time.Duration(after) * time.Millisecond)
+	}
 	run.interval = w.truth.Started(o.Task, o.Run, w.id)
 	w.runs[o.Task] = run
 	w.answer(rw, http.StatusOK, "")
