--- a/review/lab/lives.go
+++ b/review/lab/lives.go
@@ -16,6 +16,8 @@
 	// before it deregisters.
 	shortDown = 1500 * time.Millisecond
 	drainTime = 4 * time.Second
+	// lateFirstReport is how long a worker that starts again takes to its first report.
+	lateFirstReport = 400 * time.Millisecond
 )
 
 var workerSize = Size{CPU: 16000, Mem: 62500}
@@ -117,7 +119,6 @@
 	}
 	w := s.Workers[0]
 	w.Drain()
-	rec.Log("worker %s reports that it is draining", w.id)
 	time.Sleep(drainTime)
 	if trouble {
 		proxies["control"].SetOnAnswer(func(request []byte) bool {
@@ -143,3 +144,44 @@
 	time.Sleep(5 * time.Second)
 	return s.truth.Overlaps(), nil
 }
+
+// lateOrder: a worker leaves a start call without an answer, drains and leaves by plan, and
+// its machine starts again under the id that it had. The start call is carried out late.
+func lateOrder(rec *Record, repo string, trouble bool) ([]string, error) {
+	s, err := newSystem(rec, repo, options{entries: 3, workers: 4, capacity: workerSize})
+	if s != nil {
+		defer s.Close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	w := s.Workers[0]
+	if trouble {
+		w.LeaveNextStart()
+	}
+	id := "00000000000000d1"
+	if err := s.Submit(id, jobSpec, jobSteps()); err != nil {
+		return nil, err
+	}
+	if !await(5*time.Second, func() bool { return w.LeftStart() != nil || !trouble && w.RunCount() > 0 }) {
+		return nil, fmt.Errorf("%w: no start call reaches the first worker", errNotRun)
+	}
+	w.Drain()
+	time.Sleep(drainTime)
+	code, err := call(http.MethodDelete, w.control, "/instances/"+w.id, nil)
+	rec.Log("worker %s sends DELETE /instances/%s: answer %d, error %v", w.id, w.id, code, err)
+	w.End("left")
+	time.Sleep(shortDown)
+	w.firstReport = lateFirstReport
+	if err := w.Boot(w.id); err != nil {
+		return nil, err
+	}
+	if trouble {
+		time.Sleep(lateFirstReport / 2)
+		if err := w.CarryOutLate(); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(6 * time.Second)
+	return s.truth.Overlaps(), nil
+}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -19,7 +18,7 @@
 	"reset-leave": resetLeave,
 	"crash-gang":  crashGang,
 	"wide-gang":   wideGang,
-	"late-crash":  lateCrash,
+	"late-order":  lateOrder,
 }
 
 func main() {
@@ -55,9 +54,6 @@
 	case err != nil:
 		rec.Log("the case couldn't run: %v", err)
 		fmt.Println("couldn't run:", err)
-		if errors.Is(err, errNotRun) {
-			return 2
-		}
 		return 2
 	case len(broken) > 0:
 		for _, b := range broken {
--- a/review/lab/system.go
+++ b/review/lab/system.go
@@ -295,35 +295,9 @@
 	return p.cmd.Process.Signal(s)
 }
 
-// Alive reports whether the process runs.
-func (p *Process) Alive() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return false
-	}
-	select {
-	case <-p.done:
-		return false
-	default:
-		return true
-	}
-}
-
-// Pid returns the id of the process.
-func (p *Process) Pid() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return 0
-	}
-	return p.cmd.Process.Pid
-}
-
 // Close ends all processes and removes the folder, but for the logs if KEEP is set.
 func (s *System) Close() {
 	for _, w := range s.Workers {
-		w.closed.Store(true)
 		w.End("the case is over")
 	}
 	for _, p := range s.Agents {
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -5,13 +5,14 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -32,8 +33,7 @@
 
 // Worker stands in for a worker of the platform. It has one life after another at the same
 // address. A task's work is named by the words ms=N cpu=N mem=N of its specification;
-// ms=0 lasts until it is stopped, gang=N says that the task is one of N of a gang, and crash=N
-// that it crashes its worker after that many milliseconds.
+// ms=0 lasts until it is stopped, and gang=N says that the task is one of N of a gang.
 type Worker struct {
 	rec     *Record
 	truth   *Truth
@@ -64,8 +64,11 @@
 	control string
 	// holds counts answered hold calls of this life.
 	holds int
-	// closed reports that no further life begins.
-	closed atomic.Bool
+	// leaveStart has the next start call get no answer; it is kept for CarryOutLate.
+	leaveStart bool
+	leftStart  *leftCall
+	// firstReport is when after a boot the first status report is sent.
+	firstReport time.Duration
 }
 
 type workerRun struct {
@@ -78,8 +81,6 @@
 	begun    time.Time
 	// gang is set for a member of a gang.
 	gang *gangRun
-	// crashAt is when the run crashes its worker, or zero.
-	crashAt time.Time
 }
 
 type workerEnd struct {
@@ -153,33 +154,10 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 		w.mu.Lock()
-		crash := false
 		if w.up {
 			w.endDue()
-			for _, r := range w.runs {
-				crash = crash || !r.crashAt.IsZero() && time.Now().After(r.crashAt)
-			}
 		}
 		w.mu.Unlock()
-		if crash {
-			go w.crashAndBoot()
-			return
-		}
-	}
-}
-
-// crashAndBoot ends the life by a crash and begins the next one some seconds later.
-func (w *Worker) crashAndBoot() {
-	id := w.id
-	w.End("crashed")
-	time.Sleep(downTime)
-	if w.closed.Load() {
-		return
-	}
-	number := strings.LastIndexByte(id, '-')
-	n, _ := strconv.Atoi(id[number+1:])
-	if err := w.Boot(fmt.Sprintf("%s-%d", id[:number], n+1)); err != nil {
-		w.rec.Log("worker %s does not boot again: %v", id, err)
 	}
 }
 
@@ -273,7 +251,63 @@
 	return 0
 }
 
+// leftCall is a start call that got no answer.
+type leftCall struct {
+	header http.Header
+	body   []byte
+	at     time.Time
+}
+
+// LeaveNextStart has the next start call get no answer.
+func (w *Worker) LeaveNextStart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaveStart = true
+}
+
+// LeftStart returns the start call that got no answer, or nil.
+func (w *Worker) LeftStart() *leftCall {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leftStart
+}
+
+// leave reports whether a start call is left without an answer, and keeps it then.
+func (w *Worker) leave(r *http.Request) bool {
+	w.mu.Lock()
+	leave := w.leaveStart
+	w.leaveStart = false
+	w.mu.Unlock()
+	if !leave {
+		return false
+	}
+	body, _ := io.ReadAll(r.Body)
+	w.mu.Lock()
+	w.leftStart = &leftCall{header: r.Header.Clone(), body: body, at: time.Now()}
+	w.mu.Unlock()
+	w.rec.Log("worker at %s leaves a start call without an answer: %s", w.address, body)
+	<-r.Context().Done()
+	return true
+}
+
+// CarryOutLate has the boot that is up carry out the start call that got no answer.
+func (w *Worker) CarryOutLate() error {
+	left := w.LeftStart()
+	q, err := http.NewRequest(http.MethodPost, "/run-start", bytes.NewReader(left.body))
+	if err != nil {
+		return err
+	}
+	q.Header = left.header
+	answer := httptest.NewRecorder()
+	w.handleStart(answer, q)
+	w.rec.Log("worker %s carries out the start call %.1f s late: %d %s", w.id, time.Since(left.at).Seconds(), answer.Code, strings.TrimSpace(answer.Body.String()))
+	return nil
+}
+
 func (w *Worker) handleStart(rw http.ResponseWriter, r *http.Request) {
+	if w.leave(r) {
+		return
+	}
 	var o order
 	if !w.accept(rw, r, &o) {
 		return
@@ -309,9 +343,6 @@
 	} else if run.work > 0 {
 		run.finishAt = run.begun.Add(run.work)
 	}
-	if after := number(o.Spec, "crash"); after > 0 {
-		run.crashAt = run.begun.Add(time.Duration(after) * time.Millisecond)
-	}
 	run.interval = w.truth.Started(o.Task, o.Run, w.id)
 	w.runs[o.Task] = run
 	w.answer(rw, http.StatusOK, "")
@@ -398,11 +429,15 @@
 	return len(w.runs)
 }
 
-// Drain has the next heartbeats say that the worker leaves.
+// Drain has the worker report that it leaves, now and in the status reports to come.
 func (w *Worker) Drain() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.state = "draining"
+	id := w.id
+	w.mu.Unlock()
+	path, body := w.Report()
+	code, err := put(w.control, path, body)
+	w.rec.Log("worker %s reports that it is draining: answer %d, error %v", id, code, err)
 }
 
 // Report returns the path and the body of the worker's next status report.
@@ -424,6 +459,11 @@
 
 // beat sends status reports until the life ends.
 func (w *Worker) beat(stop chan struct{}) {
+	select {
+	case <-stop:
+		return
+	case <-time.After(w.firstReport):
+	}
 	for {
 		path, body := w.Report()
 		if code, err := put(w.control, path, body); err != nil || code != http.StatusOK {
