Have connections of workers at work fail in the random runs

The random runs met closed connections of dead workers alone: a link to a worker failed by silence. Where it failed, it now also refuses or resets connections, or loses answers; half of the workers that leave by plan do not hear that their deregistration has arrived and are at work for up to 4 s more; half of the workers that end have their connections closed.

--- a/prove/simul/leave_random_test.go
+++ b/prove/simul/leave_random_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/berylspar/spar/stand/store"
+	"github.com/berylspar/spar/stand/worker"
 	"github.com/berylspar/spar/track"
 )
 
@@ -54,8 +55,12 @@
 	s.schedule(d, func() { s.setStoreFaults(store.Faults{}) })
 }
 
+// maxOutlive is how long a worker whose deregistration was not acknowledged is at work at most.
+const maxOutlive = 4 * time.Second
+
 // leaveAndReturn has a worker drain, deregister and end, its agent stop or go on, and both come
-// back some seconds later.
+// back some seconds later. Half of the workers do not hear that their deregistration has
+// arrived, since their connections fail, and are at work for a while longer.
 func (s *simulation) leaveAndReturn(n *node) {
 	life, up := n.worker.Life()
 	if !up {
@@ -64,6 +69,10 @@
 	s.drain(n)
 	drained := time.Duration(s.random.IntN(2000)) * time.Millisecond
 	gone := drained + time.Duration(s.random.IntN(300))*time.Millisecond
+	outlives := s.linkDraws.IntN(2) == 0
+	if outlives {
+		gone = drained + time.Duration(s.linkDraws.Int64N(int64(maxOutlive)))
+	}
 	back := gone + time.Duration(500+s.random.IntN(5000))*time.Millisecond
 	id := life.ID
 	if s.random.IntN(2) == 0 {
@@ -76,11 +85,17 @@
 	s.schedule(drained, func() {
 		if isLast() {
 			n.beats.Deregister(life.ID)
+			if outlives {
+				s.breakWorkerLink(n)
+			}
 		}
 	})
 	s.schedule(gone, func() {
+		if outlives {
+			n.workerClient.SetFaults(worker.Faults{})
+		}
 		if isLast() {
-			n.worker.Crash()
+			s.endWorker(n)
 		}
 	})
 	if s.random.IntN(2) == 0 {
@@ -91,3 +106,13 @@
 		s.restartWorker(n, id)
 	})
 }
+
+// endWorker ends a worker's life: its machine is gone, or only its process, so that its
+// connections are closed.
+func (s *simulation) endWorker(n *node) {
+	if s.linkDraws.IntN(2) == 0 {
+		n.worker.Crash()
+		return
+	}
+	n.worker.CrashProcess()
+}
--- a/prove/simul/random_test.go
+++ b/prove/simul/random_test.go
@@ -203,7 +203,7 @@
 		n.workerClient.SetFaults(worker.Faults{LateShare: 0.3, LateBy: maxOrderDelay / 2, MuteShare: 0.2})
 		s.schedule(duration, func() { n.workerClient.SetFaults(worker.Faults{}) })
 	case 17:
-		n.workerClient.SetFaults(worker.Faults{Unreachable: true})
+		s.breakWorkerLink(n)
 		s.schedule(duration, func() { n.workerClient.SetFaults(worker.Faults{}) })
 	case 18:
 		s.closeDomain(n.domain)
@@ -225,6 +225,16 @@
 	}
 }
 
+// breakWorkerLink has the calls of an agent to its worker fail in one of the ways in which a
+// network may have them fail.
+func (s *simulation) breakWorkerLink(n *node) {
+	kinds := []worker.Faults{{Unreachable: true}, {Refused: true}, {Unanswered: true}, {ResetShare: 0.3}, {ResetShare: 1}, {}}
+	n.workerClient.SetFaults(kinds[s.linkDraws.IntN(len(kinds))])
+	if s.linkDraws.IntN(2) == 0 {
+		n.workerClient.ResetConnections()
+	}
+}
+
 // schedule runs an action after a delay. Actions that start something do nothing
 // when it already runs.
 func (s *simulation) schedule(d time.Duration, run func()) {
--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -31,10 +31,12 @@
 // simulation is a deployment of the real owners and agents in fake time, with
 // stand-ins for the store, the workers and the network.
 type simulation struct {
-	t         *testing.T
-	ctx       context.Context
-	seed      uint64
-	random    *rand.Rand
+	t      *testing.T
+	ctx    context.Context
+	seed   uint64
+	random *rand.Rand
+	// linkDraws decides how the connections between agents and workers fail.
+	linkDraws *rand.Rand
 	startedAt time.Time
 	store     *store.Store
 	net       *network
@@ -121,7 +123,7 @@
 
 func newSimulation(ctx context.Context, t *testing.T, seed uint64, entries, nodes int, out io.Writer, options ...func(*simulation)) *simulation {
 	s := &simulation{
-		t: t, ctx: ctx, seed: seed, random: rand.New(rand.NewPCG(seed, 5)), startedAt: time.Now(), store: &store.Store{},
+		t: t, ctx: ctx, seed: seed, random: rand.New(rand.NewPCG(seed, 5)), linkDraws: rand.New(rand.NewPCG(seed, 23)), startedAt: time.Now(), store: &store.Store{},
 		net: newNetwork(), checker: worker.NewInvariantChecker(), jobs: map[string]*job{}, closedAt: map[string]time.Time{}, out: out,
 	}
 	for _, set := range options {
--- a/prove/simul/standing_random_test.go
+++ b/prove/simul/standing_random_test.go
@@ -246,10 +246,13 @@
 			n.beats.Deregister(life.ID)
 		}
 		n.draining.Store(true)
+		if outlive > 0 {
+			p.breakWorkerLink(n)
+		}
 	})
 	p.schedule(drainTime+outlive, func() {
 		n.gone.Store(true)
-		n.worker.Crash()
+		p.endWorker(n)
 		p.schedule(agentTime, func() { p.stopNode(n) })
 		p.schedule(agentTime+time.Duration(p.draws.IntN(5000))*time.Millisecond, func() { p.replaceNode(n) })
 	})
