Report a worker that has left together with its ends

Cause, by reading, and shown by the two tests: since a worker without runs counts as gone though it may be up, what it has not told matters. The owner was told that it has left without the ends that the agent knew, after an earlier owner had heard of them and could not store them; and a worker that lists its ends in pages counted as empty with ends that it had not listed.

Change: the message that a worker has left carries the ends that no owner has acknowledged, and a worker is empty only when it has listed all ends.

Tests: TestNewOwnerIsToldTheEndsOfAWorkerThatHasLeft ("with 0 ends, want 2") and TestWorkerWithUnlistedEndsHasNotLeft failed before.

--- a/agent/exec/departure.go
+++ b/agent/exec/departure.go
@@ -20,6 +20,13 @@
 	l.ends.acknowledge(number)
 }
 
+// endsToReport returns the ends that no owner has acknowledged.
+func (l *lifeRecord) endsToReport() []spar.Ended {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ends.all()
+}
+
 // recordLeft records that the worker had deregistered and that its runs are over.
 func (l *lifeRecord) recordLeft() {
 	l.mu.Lock()
--- a/agent/exec/departures_test.go
+++ b/agent/exec/departures_test.go
@@ -27,9 +27,11 @@
 	acks, down bool
 	silent     map[string]bool
 	told       map[string][]link.Departure
-	// leaves counts the messages that tell the owner that the worker has left.
-	leaves int
-	owned  net.Conn
+	// leaves counts the messages that tell the owner that the worker has left, and leftEnds
+	// are the ends that came with the last one.
+	leaves   int
+	leftEnds []spar.Ended
+	owned    net.Conn
 }
 
 func newDepartureBench(ctx context.Context, t *testing.T) (b *departureBench, done <-chan error) {
@@ -93,6 +95,7 @@
 			return
 		case m.WorkerLeft:
 			b.leaves++
+			b.leftEnds = m.Ended
 		case m.Node != "":
 			b.owned = c
 			answer.Welcome = &link.Welcome{Epoch: 1, Token: 7, Lease: 5 * time.Second}
@@ -323,3 +326,25 @@
 		})
 	})
 }
+
+// A worker has ended a run and leaves, and the owner that heard of the end is killed before it
+// has stored that. The worker is at work behind a fault of its connections: if the next owner
+// is told that it has left without the end, the run starts again, and the worker lists the end
+// when it is reached again.
+func TestNewOwnerIsToldTheEndsOfAWorkerThatHasLeft(t *testing.T) {
+	testDeparture(t, func(t *testing.T, b *departureBench) {
+		b.worker.change(func() { b.worker.ended = endsOf("a", "b") })
+		time.Sleep(time.Second)
+		b.set(func() { b.down = true })
+		time.Sleep(200 * time.Millisecond)
+		b.beats.Deregister(workerLife.ID)
+		b.worker.change(func() { b.worker.gone = true })
+		b.set(func() { b.down = false })
+		time.Sleep(time.Second)
+		b.set(func() {
+			if b.leaves == 0 || len(b.leftEnds) != 2 {
+				t.Errorf("the owner was told %d times, with %d ends, want 2", b.leaves, len(b.leftEnds))
+			}
+		})
+	})
+}
--- a/agent/exec/left_test.go
+++ b/agent/exec/left_test.go
@@ -88,6 +88,22 @@
 	})
 }
 
+// A worker lists its ends in pages. One with ends that it has not listed may not be taken for
+// empty: what they tell would be unknown when their tasks start again.
+func TestWorkerWithUnlistedEndsHasNotLeft(t *testing.T) {
+	s, beats := newRoomSession(&leavingWorker{}, spar.Size{})
+	s.life.recordFencedLists(spar.RunLists{Ended: endsOf("a"), MoreEnds: true}, 0)
+	s.life.beginLeases(0, 5*time.Second, 5*time.Second)
+	beats.Deregister(workerLife.ID)
+	if s.recordLeft(t.Context(), s.life, time.Now(), errClosed) {
+		t.Error("a worker with ends that it has not listed counts as gone")
+	}
+	s.life.recordLists(spar.RunLists{Ended: endsOf("a", "b")}, 0)
+	if !s.recordLeft(t.Context(), s.life, time.Now(), errClosed) {
+		t.Error("a worker without runs that has listed all ends does not count as gone")
+	}
+}
+
 // A start order is handled while a worker without runs is found to have left. A start call
 // that is sent after the entries were told so could begin a run beside one elsewhere.
 func TestNoStartCallIsSentOnceNoLeaseIsExtended(t *testing.T) {
--- a/agent/exec/life.go
+++ b/agent/exec/life.go
@@ -28,8 +28,10 @@
 	// refused the connection of that call.
 	failedAt     time.Duration
 	disconnected bool
-	// ends are those that no owner has acknowledged.
-	ends unackedEnds
+	// ends are those that no owner has acknowledged. moreEnds reports that the worker had
+	// others that it did not list.
+	ends     unackedEnds
+	moreEnds bool
 	// left reports that the worker had deregistered, and that its runs are proved to be over.
 	left bool
 	// leased reports that leaseEnd is known: the latest time at which the leases on the
@@ -103,6 +105,7 @@
 		delete(l.starts, runKey{e.Task, e.Run})
 	}
 	l.ends.update(lists.Ended, now)
+	l.moreEnds = lists.MoreEnds
 	// A worker that answers has not left, whatever an earlier call seemed to tell.
 	l.left = false
 }
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -144,13 +144,13 @@
 
 // reportLeft informs the owner if the worker had deregistered and its runs are proved to
 // be over. Each owner has to be informed, since a new
-// owner may still expect the worker's runs. It returns cause, the error that ends the
+// owner may still expect the worker's runs; it may not know how those ended either. It returns cause, the error that ends the
 // session, with that fact added.
 func (s *session) reportLeft(ctx context.Context, cause error) error {
 	if !s.recordLeft(ctx, s.life, s.listBegun, cause) {
 		return cause
 	}
-	if err := s.conn.Send(&link.AgentMessage{WorkerLeft: true}); err != nil {
+	if err := s.send(&link.AgentMessage{Ended: s.life.endsToReport(), WorkerLeft: true}); err != nil {
 		return errors.CombineErrors(cause, err)
 	}
 	s.leaveReportedEpoch = s.epoch
--- a/agent/exec/worker_leases.go
+++ b/agent/exec/worker_leases.go
@@ -23,11 +23,13 @@
 }
 
 // isOver reports whether nothing runs on the life any more, even if the worker is up: no
-// lease is extended, and either all have ended or the worker has no run and no order of one.
+// lease is extended, and either all have ended or the worker has no run and no order of one,
+// and has listed all ends.
 func (l *lifeRecord) isOver(now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.leaseFixed && (len(l.starts) == 0 || now > l.leaseEnd+l.leaseMargin)
+	isEmpty := len(l.starts) == 0 && !l.moreEnds
+	return l.leaseFixed && (isEmpty || now > l.leaseEnd+l.leaseMargin)
 }
 
 // extendLease records that a lease until a time is given, and reports false if it must not
