Keep the life before until the worker has answered in the one named

A restarted agent received a late heartbeat of an earlier boot first and named that life to the owner, which dropped the runs of the life that was up. Their tasks started elsewhere.

Connect ended the life that it knew as soon as an agent named another one, before the worker had answered in it. What the agent then reported of the named life (that it has left, in the session, as a departure or through an earlier owner) ended runs of the life before as well, if both had one name.

Ruled out: comparing times of birth at the owner alone. They follow clocks that jump, and a report of another writer may name any.

Change: the life before stays, with its runs and its leases, until the worker has listed its runs in the named one. Only then are its runs lost; without that they are when its leases have ended. A named life that does not answer gives way to the one before. Runs are assigned to a life of the same name at once, as before, only if that was born later. A report that a life has ended does not end runs that were assigned to it from the one before.

The stand-in's hold call now fails for another life of the same name, as the adapter's does, and restarted agents in the random runs may receive the last heartbeat of the life before, and its deregistration.

--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -106,6 +106,9 @@
 	cancel       context.CancelFunc
 	end          <-chan error
 	seq          int64
+	// lastBeat is the last heartbeat of the present life, and earlierBeat that of the life
+	// before.
+	lastBeat, earlierBeat atomic.Pointer[exec.Heartbeat]
 	// draining reports that the worker announces its departure.
 	draining atomic.Bool
 	// gone reports that the machine was taken away.
@@ -256,9 +259,24 @@
 	c := s.common(n.name)
 	n.beats = exec.NewHeartbeats(c, exec.HeartbeatFormat{})
 	executor := exec.NewExecutor(c, n.name, n.beats, n.workerClient, n.storeClient, s.net.dialer(n.name), func() time.Duration { return time.Since(s.startedAt) })
+	s.deliverLateHeartbeat(n)
 	n.cancel, n.end = cancel, executor.Run(ctx)
 }
 
+// deliverLateHeartbeat has an agent that starts again receive the last heartbeat of the life
+// before the present one, or none, as its first one. The deregistration of that life may
+// follow.
+func (s *simulation) deliverLateHeartbeat(n *node) {
+	beat := n.earlierBeat.Load()
+	if beat == nil || s.linkDraws.IntN(2) == 0 {
+		return
+	}
+	n.beats.Accept(*beat)
+	if s.linkDraws.IntN(3) == 0 {
+		n.beats.Deregister(beat.Info.Life.ID)
+	}
+}
+
 func (s *simulation) stopNode(n *node) {
 	if n.cancel != nil {
 		n.cancel()
@@ -274,5 +292,9 @@
 		return
 	}
 	n.seq++
-	n.beats.Accept(exec.Heartbeat{Seq: n.seq, Address: n.name, Info: spar.WorkerInfo{Life: life, Service: "desk", Domain: n.domain, Size: n.worker.Size(), Draining: n.draining.Load()}})
+	beat := exec.Heartbeat{Seq: n.seq, Address: n.name, Info: spar.WorkerInfo{Life: life, Service: "desk", Domain: n.domain, Size: n.worker.Size(), Draining: n.draining.Load()}}
+	if last := n.lastBeat.Swap(&beat); last != nil && last.Info.Life != life {
+		n.earlierBeat.Store(last)
+	}
+	n.beats.Accept(beat)
 }
--- a/shard/copy.go
+++ b/shard/copy.go
@@ -102,6 +102,9 @@
 	out := *w
 	c.workers[w] = &out
 	out.recentFills = slices.Clone(w.recentFills)
+	if w.previous != nil {
+		out.previous = c.worker(w.previous)
+	}
 	out.runs = make(map[*run]bool, len(w.runs))
 	for r := range w.runs {
 		out.runs[c.run(r)] = true
--- a/shard/departure.go
+++ b/shard/departure.go
@@ -40,10 +40,7 @@
 		return spar.Life{}, false
 	}
 	sc.onEvent(Event{Name: "departure applied", Node: w.node, Reason: fmt.Sprintf("%s born %d, %d ends, left %v, leases end in %s", d.Life.ID, d.Life.Born, ends, d.Left, w.leasesExpire.Sub(now).Round(time.Millisecond))})
-	if d.Left {
-		sc.endLife(w, "worker has left")
-	}
-	return d.Life, d.Left
+	return d.Life, d.Left && sc.endReportedLife(w, "reported by the agent")
 }
 
 // shortenLeases applies a bound of the leases on a worker, if there is one, and reports
--- a/shard/report.go
+++ b/shard/report.go
@@ -15,6 +15,9 @@
 		return
 	}
 	sc.now = now
+	if m.Complete || len(m.Running) > 0 || len(m.Ended) > 0 {
+		sc.confirmLife(w, now)
+	}
 	// Other messages carry outcomes alone and say nothing about progress.
 	if m.Heartbeat > 0 || len(m.Running) > 0 || m.Complete {
 		w.countIdleTime(now)
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -254,17 +254,32 @@
 		sc.removeRun(r)
 	}
 	w.lifeEnded = true
-	if sc.workers[w.node] == w {
+	switch {
+	case sc.workers[w.node] != w:
+	case w.previous != nil:
+		sc.workers[w.node] = w.previous
+	default:
 		delete(sc.workers, w.node)
 	}
 }
 
+// endPrevious ends the life before the current one of a worker.
+func (sc *Scheduler) endPrevious(w *worker, reason string) {
+	p := w.previous
+	w.previous = nil
+	sc.endLife(p, reason)
+}
+
 // Tick removes workers whose leases have expired, adds occurrences that are due and
 // reports standing tasks that do not run.
 // now is a monotonic time and wall the time of day.
 func (sc *Scheduler) Tick(now, wall time.Time) {
 	sc.now, sc.wall = now, wall
 	for _, w := range sc.workers {
+		if p := w.previous; p != nil && now.After(p.leasesExpire) {
+			sc.onEvent(Event{Name: "leases ended", Node: w.node, Reason: p.info.Life.ID})
+			sc.endPrevious(w, "leases ended")
+		}
 		// This also applies to a worker with a session: an agent that cannot
 		// renew the leases on its worker requests no grants.
 		if now.After(w.leasesExpire) && (w.token == 0 || len(w.runs) > 0) {
--- a/shard/session.go
+++ b/shard/session.go
@@ -13,8 +13,13 @@
 // Connect opens a session with a worker's agent. Nothing is placed on the
 // worker and no lease is granted until the session has listed the runs on it.
 //
-// Runs of an earlier life of the worker do not continue in a new one. But if
-// both lives have the same name, an order to the earlier life may still arrive
+// Runs of an earlier life of the worker do not continue in a new one. But that a life is
+// named does not prove that the one before is over: the first heartbeat that a restarted
+// agent receives may be a late one of an earlier life. Only the worker's answer proves it,
+// and the agent lists the runs of no life but the one that answers. So the life before is
+// kept, with the leases on it, until the named one has listed its runs.
+//
+// If both lives have the same name, an order to the earlier life may still arrive
 // late and be carried out in the new one, under a lease of up to MaxLease. The
 // earlier runs therefore stay assigned to the worker until the new life has
 // listed its runs under the token of the session.
@@ -25,6 +30,11 @@
 func (sc *Scheduler) Connect(node string, info spar.WorkerInfo, token int64, maxLeaseLeft *time.Duration, now time.Time) {
 	sc.recordName(info.Life)
 	old := sc.workers[node]
+	if old != nil && old.previous != nil && old.info.Life != info.Life {
+		// The worker has not answered in the life that was named last.
+		sc.endLife(old, "life not confirmed")
+		old = sc.workers[node]
+	}
 	if old != nil && old.info.Life == info.Life {
 		old.info, old.token, old.listed, old.restored = info, token, false, false
 		remaining := sc.limits.Lease
@@ -39,15 +49,41 @@
 	w := &worker{node: node, info: info, token: token, runs: map[*run]bool{}, failureScoreAt: now}
 	if old != nil {
 		sc.onEvent(Event{Name: "worker in a new life", Node: node, Reason: info.Life.ID})
-		if old.info.Life.ID == info.Life.ID {
-			w.nameReused = true
-			w.leasesExpire = now.Add(maxOrderDelay + sc.limits.strayLeaseTime())
-			sc.transferRuns(w, old)
-		}
+		sc.follow(w, old, now)
+	}
+	sc.workers[node] = w
+}
+
+// follow has a life that is named follow the one before. Which of two lives of one name is
+// the later one is told by their times of birth, if the clocks have not jumped between.
+func (sc *Scheduler) follow(w, old *worker, now time.Time) {
+	w.nameReused = w.info.Life.ID == old.info.Life.ID
+	if w.nameReused {
+		w.leasesExpire = now.Add(maxOrderDelay + sc.limits.strayLeaseTime())
+	}
+	if w.nameReused && w.info.Life.Born > old.info.Life.Born {
+		sc.transferRuns(w, old)
 		sc.endLife(old, "worker in a new life")
 		sc.reserveAfterCrash(w, now)
+		return
+	}
+	if w.nameReused && old.follower != w.info.Life {
+		old.follower = w.info.Life
+		if w.leasesExpire.After(old.leasesExpire) {
+			old.leasesExpire = w.leasesExpire
+		}
+	}
+	old.token, old.listed = 0, false
+	w.previous = old
+}
+
+// confirmLife is called when a worker has answered in the life that is named, which proves
+// that the one before is over.
+func (sc *Scheduler) confirmLife(w *worker, now time.Time) {
+	if w.previous != nil {
+		sc.endPrevious(w, "worker in a new life")
+		sc.reserveAfterCrash(w, now)
 	}
-	sc.workers[node] = w
 }
 
 // transferRuns moves the runs of a worker's previous life to its new one.
@@ -60,17 +96,27 @@
 	old.runs, old.room = map[*run]bool{}, spar.Size{}
 }
 
-// RemoveWorker ends the life of a worker that has announced its departure and
-// no longer answers.
-// It returns the life that is over, and false if the session is.
+// RemoveWorker ends the life of a worker that has announced its departure and whose runs
+// are over. It returns the life, and false if the session is over or the life cannot be
+// ended.
 func (sc *Scheduler) RemoveWorker(node string, token int64) (spar.Life, bool) {
 	w := sc.workerInSession(node, token)
 	if w == nil {
 		return spar.Life{}, false
 	}
-	sc.onEvent(Event{Name: "worker has left", Node: node})
+	return w.info.Life, sc.endReportedLife(w, "")
+}
+
+// endReportedLife ends a life that is reported to be over, and reports whether it did. It
+// does not while runs of a life before, of the same name, are assigned to the worker: the
+// report says nothing about those. The leases on them run on.
+func (sc *Scheduler) endReportedLife(w *worker, reason string) bool {
+	if w.nameReused && len(w.runs) > 0 {
+		return false
+	}
+	sc.onEvent(Event{Name: "worker has left", Node: w.node, Reason: reason})
 	sc.endLife(w, "worker has left")
-	return w.info.Life, true
+	return true
 }
 
 // EndLife ends a life of a worker that is known to be over, if the worker is still taken
@@ -78,8 +124,7 @@
 func (sc *Scheduler) EndLife(l spar.Life) {
 	for _, w := range sc.workers {
 		if w.info.Life == l {
-			sc.onEvent(Event{Name: "worker has left", Node: w.node, Reason: "reported in an earlier term"})
-			sc.endLife(w, "worker has left")
+			sc.endReportedLife(w, "reported in an earlier term")
 			return
 		}
 	}
--- a/stand/worker/client.go
+++ b/stand/worker/client.go
@@ -194,21 +194,28 @@
 
 // Hold implements spar.Worker.
 func (c *Client) Hold(ctx context.Context, t spar.Target, acked, until int64, wait time.Duration) (spar.RunLists, error) {
-	var changed <-chan struct{}
-	l, err := order(ctx, c, func(bool) (l spar.RunLists, err error) {
-		l, changed, err = c.worker.Hold(t, acked, until)
-		return l, err
-	})
+	l, changed, err := c.list(ctx, t, acked, until)
 	if err != nil || len(l.Ended) > 0 || wait == 0 {
 		return l, err
 	}
 	if err := c.awaitChange(ctx, wait, changed); err != nil {
 		return spar.RunLists{}, err
 	}
-	return order(ctx, c, func(bool) (spar.RunLists, error) {
-		l, _, err := c.worker.Hold(t, acked, until)
+	l, _, err = c.list(ctx, t, acked, until)
+	return l, err
+}
+
+// list makes one hold call. The lists of another life of the same name are not those that
+// were asked for, which only the time of birth in them tells.
+func (c *Client) list(ctx context.Context, t spar.Target, acked, until int64) (l spar.RunLists, changed <-chan struct{}, err error) {
+	l, err = order(ctx, c, func(bool) (l spar.RunLists, err error) {
+		l, changed, err = c.worker.Hold(t, acked, until)
 		return l, err
 	})
+	if err == nil && l.Born != t.Life.Born {
+		return spar.RunLists{}, nil, errors.Wrap(spar.ErrOtherLife, "worker")
+	}
+	return l, changed, err
 }
 
 // awaitChange waits for a change of the lists. It fails if the connection is reset
