Hold a task whose start may be carried out in the next life

A start call got no answer, its worker drained, and the stop of the run was answered, so the task started elsewhere. The worker left, started again under its name and carried the call out before its agent had listed it.

Cause: a stop, or a listing under a new token, tells that a run never starts in the present life only. The next life of the same name has seen neither.

Ruled out: anything at the agent or in the order. The new life knows no token, its name is the one that the call expects, and its clock starts anew, so that the end of the lease in the call lies ahead. It works before its first heartbeat.

Change: such a run stays assigned to a worker that drains until the next life has listed its runs, or for the 12 s in which the platform may carry the call out. It takes part in no count of overdue outcomes and outlives the end of the life. Standing tasks are not held: they would be missed meanwhile. Nor are runs of an earlier term, of which it is not known whether they were ordered.

Open: the same by a worker that crashes, not drains, after such a call, and by a call that was repeated with success before the worker left; an owner that takes over in the 12 s forgets the hold.

--- a/shard/commit.go
+++ b/shard/commit.go
@@ -226,7 +226,7 @@
 	var out []string
 	for _, w := range sc.workers {
 		for r := range w.runs {
-			if w.token != 0 && w.listed && r.ordered && !r.confirmed && r.token == w.token && now.Sub(r.started) > outcomeTimeout {
+			if w.token != 0 && w.listed && r.ordered && !r.confirmed && r.strayUntil.IsZero() && r.token == w.token && now.Sub(r.started) > outcomeTimeout {
 				sc.onEvent(Event{Name: "outcome overdue", Task: r.task.ref().String(), Run: r.number, Node: w.node})
 				out = append(out, w.node)
 				break
--- a/shard/job.go
+++ b/shard/job.go
@@ -121,6 +121,9 @@
 	token   int64
 	// stopping reports whether a stop was ordered.
 	stopping bool
+	// strayUntil is the time until which a start call that was not answered may be carried
+	// out in the worker's next life; zero if there is none. See keepStray.
+	strayUntil time.Time
 	// pace is the ordered share of full speed, in percent.
 	pace int
 	// started is when the run was claimed, ordered and confirmed, whichever was last.
--- a/shard/report.go
+++ b/shard/report.go
@@ -99,7 +99,7 @@
 // confirmRun marks a run as present on its worker.
 func (sc *Scheduler) confirmRun(r *run, now time.Time) {
 	if !r.confirmed {
-		r.confirmed, r.started, r.idle = true, now, 0
+		r.confirmed, r.started, r.idle, r.strayUntil = true, now, 0, time.Time{}
 		if r.pace != 100 {
 			// Workers start every run at full speed.
 			sc.pendingPaces[r] = true
@@ -137,6 +137,9 @@
 		sc.confirmRun(r, now)
 		return
 	}
+	if o.Result == spar.StartNever && sc.keepStray(r, now) {
+		return
+	}
 	sc.onEvent(Event{Name: "start refused", Task: o.Task.String(), Run: o.Run, Node: w.node, Reason: string(o.Result)})
 	t := r.task
 	t.notBefore = now.Add(refusalBackoff)
@@ -178,7 +181,7 @@
 // any more, since the worker rejects orders with an older fencing token.
 func (sc *Scheduler) reconcileListing(w *worker, now time.Time) {
 	for r := range w.runs {
-		if r.token == w.token {
+		if r.token == w.token || sc.keepStray(r, now) {
 			continue
 		}
 		sc.onEvent(Event{Name: "run not found", Task: r.task.ref().String(), Run: r.number, Node: w.node})
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -248,12 +248,21 @@
 
 // endLife removes a worker, with all its runs, whose life is over or whose
 // leases have expired. reason says which, unless a crash of the worker is known.
+// Runs that may start in its next life are kept, and the worker with them; see
+// keepStray.
 func (sc *Scheduler) endLife(w *worker, reason string) {
 	for r := range w.runs {
+		if r.isStray(sc.now) {
+			continue
+		}
 		sc.onEvent(Event{Name: "run lost", Task: r.task.ref().String(), Run: r.number, Node: w.node, Reason: cmp.Or(r.crash, reason)})
 		sc.removeRun(r)
 	}
 	w.lifeEnded = true
+	if len(w.runs) > 0 {
+		w.token, w.listed, w.leasesExpire = 0, false, w.lastStray()
+		return
+	}
 	switch {
 	case sc.workers[w.node] != w:
 	case w.previous != nil:
@@ -267,6 +276,7 @@
 func (sc *Scheduler) endPrevious(w *worker, reason string) {
 	p := w.previous
 	w.previous = nil
+	p.forgetStrays()
 	sc.endLife(p, reason)
 }
 
@@ -280,6 +290,7 @@
 			sc.onEvent(Event{Name: "leases ended", Node: w.node, Reason: p.info.Life.ID})
 			sc.endPrevious(w, "leases ended")
 		}
+		sc.expireStrays(w, now)
 		// This also applies to a worker with a session: an agent that cannot
 		// renew the leases on its worker requests no grants.
 		if now.After(w.leasesExpire) && (w.token == 0 || len(w.runs) > 0) {
--- a/shard/session.go
+++ b/shard/session.go
@@ -36,7 +36,7 @@
 		old = sc.workers[node]
 	}
 	if old != nil && old.info.Life == info.Life {
-		old.info, old.token, old.listed, old.restored = info, token, false, false
+		old.info, old.token, old.listed, old.restored, old.lifeEnded = info, token, false, false, false
 		remaining := sc.limits.Lease
 		if maxLeaseLeft != nil {
 			remaining = min(*maxLeaseLeft, remaining)
@@ -88,6 +88,7 @@
 
 // transferRuns moves the runs of a worker's previous life to its new one.
 func (sc *Scheduler) transferRuns(w, old *worker) {
+	old.forgetStrays()
 	for r := range old.runs {
 		r.worker = w
 		w.addRun(r)
@@ -107,16 +108,16 @@
 	return w.info.Life, sc.endReportedLife(w, "")
 }
 
-// endReportedLife ends a life that is reported to be over, and reports whether it did. It
-// does not while runs of a life before, of the same name, are assigned to the worker: the
-// report says nothing about those. The leases on them run on.
+// endReportedLife ends a life that is reported to be over, and reports whether no run of it
+// is left. It does not while runs of a life before, of the same name, are assigned to the
+// worker: the report says nothing about those. The leases on them run on.
 func (sc *Scheduler) endReportedLife(w *worker, reason string) bool {
 	if w.nameReused && len(w.runs) > 0 {
 		return false
 	}
 	sc.onEvent(Event{Name: "worker has left", Node: w.node, Reason: reason})
 	sc.endLife(w, "worker has left")
-	return true
+	return len(w.runs) == 0
 }
 
 // EndLife ends a life of a worker that is known to be over, if the worker is still taken
--- /dev/null
+++ b/shard/stray.go
@@ -0,0 +1,58 @@
+package shard
+
+import "time"
+
+// keepStray is called when a worker does not start a run any more, although a start call for
+// it was not answered. It reports whether the run is kept.
+//
+// That the worker rejects the call holds for its present life. A worker that drains ends
+// soon, and its next life of the same name has seen neither a stop of the run nor a fencing
+// token: the call may be carried out there before the agent has listed that life, beside the
+// next run of the task. So the run stays assigned for as long as the platform may still carry
+// the call out, or until the next life has listed its runs.
+//
+// A standing task is not kept waiting for that, nor are the runs of an earlier term, of which
+// it is not known whether they were ordered.
+func (sc *Scheduler) keepStray(r *run, now time.Time) bool {
+	isOrderOfTerm := r.ordered && r.token != 0
+	switch {
+	case !isOrderOfTerm || !r.worker.info.Draining || r.confirmed || r.task.step.Standing:
+		return false
+	case r.strayUntil.IsZero():
+		r.strayUntil = now.Add(maxOrderDelay)
+		sc.onEvent(Event{Name: "start may be carried out late", Task: r.task.ref().String(), Run: r.number, Node: r.worker.node})
+	}
+	return true
+}
+
+// isStray reports whether a start call for the run may still be carried out in the worker's
+// next life.
+func (r *run) isStray(now time.Time) bool { return now.Before(r.strayUntil) }
+
+// expireStrays removes the runs of a worker whose start calls are not carried out any more.
+func (sc *Scheduler) expireStrays(w *worker, now time.Time) {
+	for r := range w.runs {
+		if !r.strayUntil.IsZero() && !r.isStray(now) {
+			sc.removeRun(r)
+		}
+	}
+}
+
+// forgetStrays is called when the worker has answered in its next life: it rejects the calls
+// of the one before, or they do not name it.
+func (w *worker) forgetStrays() {
+	for r := range w.runs {
+		r.strayUntil = time.Time{}
+	}
+}
+
+// lastStray returns the latest time until which a start call for a run of the worker may be
+// carried out in its next life, or zero.
+func (w *worker) lastStray() (last time.Time) {
+	for r := range w.runs {
+		if r.strayUntil.After(last) {
+			last = r.strayUntil
+		}
+	}
+	return last
+}
