Start the members of a suspected gang beside one another

Cause: the members of a gang share the history of a suspect, and each claimed member counted as a trial that closes its worker to the next member. A gang with more members than workers could not be placed any more, and only a run would have cleared it.

Change: a trial closes its worker to tasks with another history.

--- a/shard/crash_test.go
+++ b/shard/crash_test.go
@@ -220,6 +220,40 @@
 		h.runCycle()
 		h.expectState("j1", shard.Failed)
 	}},
+	{"a suspected gang with more members than workers is started again", func(h *harness) {
+		h.connect("n1")
+		h.connect("n2")
+		h.submit("j1", "checks", spar.Step{Count: 6, Gang: true, Size: spar.Size{CPUMilli: 2000, MemoryMB: 500}, Estimate: time.Second})
+		m := h.nextStarts()
+		h.expectStarts(m, 6)
+		for i, o := range m["n2"].Starts {
+			h.report("n2", ended(int64(i+1), o, spar.EndBroken))
+		}
+		var lost []link.LostRun
+		for _, o := range m["n1"].Starts {
+			lost = append(lost, lostAt(o, crashAge))
+		}
+		h.crash("n1", lost...)
+		h.expectStarts(h.nextStarts(), 6)
+	}},
+	{"no other task starts beside a suspected gang", func(h *harness) {
+		h.connect("n1")
+		h.connect("n2")
+		h.submit("j1", "checks", spar.Step{Count: 6, Gang: true, Size: spar.Size{CPUMilli: 2000, MemoryMB: 500}, Estimate: time.Second})
+		m := h.nextStarts()
+		for i, o := range m["n2"].Starts {
+			h.report("n2", ended(int64(i+1), o, spar.EndBroken))
+		}
+		h.crash("n1", lostAt(m["n1"].Starts[0], crashAge))
+		h.submit("j2", "plans", shortStep(1))
+		for _, d := range h.nextStarts() {
+			for _, o := range d.Starts {
+				if o.Task.Job != "j1" {
+					h.Errorf("%s starts on a worker with a suspected gang", o.Task)
+				}
+			}
+		}
+	}},
 	{"a step of which every task crashes workers has one on trial at a time", func(h *harness) {
 		for i := range 6 {
 			h.connect(fmt.Sprintf("n%d", i))
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -106,7 +106,7 @@
 // canAccept reports whether a worker may take a task beside those that run there and is
 // not kept free.
 func (sc *Scheduler) canAccept(w *candidate, t *task, now time.Time) bool {
-	return (!w.isLastResort || t.isOverdue(now)) && sc.canRun(w, t, now) && (len(sc.suspects) == 0 || !w.hasTrial(now))
+	return (!w.isLastResort || t.isOverdue(now)) && sc.canRun(w, t, now) && (len(sc.suspects) == 0 || !w.hasTrialBeside(t, now))
 }
 
 // canRun reports whether a worker meets the requirements of a task and has room
--- a/shard/trial.go
+++ b/shard/trial.go
@@ -45,6 +45,17 @@
 	return false
 }
 
+// hasTrialBeside reports whether a run of another task on the worker is on trial. The
+// members of a gang are one cause, so they start beside one another.
+func (w *worker) hasTrialBeside(t *task, now time.Time) bool {
+	for r := range w.runs {
+		if r.task.historyTask() != t.historyTask() && r.isOnTrial(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // isQuiet reports whether no run on the worker has just been started, so that a
 // crash would be due to the next one.
 func (w *worker) isQuiet(now time.Time) bool {
--- a/shard/wait_reason.go
+++ b/shard/wait_reason.go
@@ -139,7 +139,7 @@
 		return domainClosed
 	case now.Before(w.avoidUntil), now.Before(w.failingUntil) && !t.isOverdue(now):
 		return avoided
-	case len(sc.suspects) > 0 && w.hasTrial(now), sc.isReserved(w, now) && !t.isOverdue(now):
+	case len(sc.suspects) > 0 && w.hasTrialBeside(t, now), sc.isReserved(w, now) && !t.isOverdue(now):
 		return keptForTrial
 	case !w.allowsStep(s):
 		return tooManyOfStep
