Place a gang only if the workers have room for all of it

Cause: each pass claimed and released the runs of the gang until one task found no worker. Counting the runs of a step on a worker looked at all its runs, and each release at all claims, so that a pass took a time that grows with the square of the count under the owner's lock. Leases ended meanwhile.

Ruled out: a smaller limit on the tasks of a job, which would refuse what is accepted now.

Tests: TestGangThatCannotBePlacedClaimsNoRuns, three of four cases failed before ("a run of the gang is claimed"); TestGangIsPlacedWhereItsTasksFit compares 400 random gangs with the same tasks without being one.

--- a/shard/copy.go
+++ b/shard/copy.go
@@ -105,7 +105,7 @@
 	if w.previous != nil {
 		out.previous = c.worker(w.previous)
 	}
-	out.runs = make(map[*run]bool, len(w.runs))
+	out.runs, out.stepRuns = make(map[*run]bool, len(w.runs)), nil
 	for r := range w.runs {
 		out.runs[c.run(r)] = true
 	}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -180,38 +180,6 @@
 	return suspectsPlaced && !onlyOverdue
 }
 
-// placeGang places all tasks of a gang under one run number, or none. It
-// returns false only if there is no room for the whole gang.
-func (sc *Scheduler) placeGang(s *step, pool []*candidate, now time.Time) bool {
-	var lastRun int64
-	for _, t := range s.tasks {
-		if len(t.runs) > 0 || now.Before(t.notBefore) {
-			return true
-		}
-		lastRun = max(lastRun, t.lastRun)
-	}
-	if sc.startLimit.full() {
-		return false
-	}
-	checkpoint := s.tasks[0].checkpoint
-	var claimed []placement
-	for _, t := range s.tasks {
-		p, ok := sc.bestPlacement(t, pool, now)
-		if !ok {
-			for i, p := range claimed {
-				p.release(sc, s)
-				sc.unclaimRun(s.tasks[i])
-			}
-			sc.shortages = nil
-			return false
-		}
-		t.checkpoint = checkpoint
-		sc.claimRun(t, p, lastRun+1, now)
-		claimed = append(claimed, p)
-	}
-	return true
-}
-
 // claimRun assigns a new run of a task to a worker.
 func (sc *Scheduler) claimRun(t *task, p placement, number int64, now time.Time) {
 	r := &run{task: t, worker: p.worker, number: number, token: p.token, pace: p.pace, started: now, resumed: t.checkpoint != ""}
@@ -224,11 +192,3 @@
 	sc.markTaskChanged(t)
 	sc.onEvent(Event{Name: "run claimed", Task: t.ref().String(), Run: number, Node: p.node, Reason: t.step.Image})
 }
-
-// unclaimRun removes the run of a task that was claimed in this pass.
-func (sc *Scheduler) unclaimRun(t *task) {
-	r := t.runs[len(t.runs)-1]
-	sc.removeRun(r)
-	sc.startLimit.remove(r)
-	sc.claimedRuns = slices.DeleteFunc(sc.claimedRuns, func(other *run) bool { return other == r })
-}
--- a/shard/session.go
+++ b/shard/session.go
@@ -94,7 +94,7 @@
 		w.addRun(r)
 		sc.markTaskChanged(r.task)
 	}
-	old.runs, old.room = map[*run]bool{}, spar.Size{}
+	old.runs, old.room, old.stepRuns = map[*run]bool{}, spar.Size{}, nil
 }
 
 // RemoveWorker ends the life of a worker that has announced its departure and whose runs
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -27,6 +27,8 @@
 	// runs are the runs that may be on the worker, and room their size; see addRun.
 	runs map[*run]bool
 	room spar.Size
+	// stepRuns counts the runs by step, or is nil until runsOfStep needs it.
+	stepRuns map[*step]int
 	// nameReused reports whether the previous life had the same name, so that
 	// start orders to it may still arrive in this one.
 	nameReused bool
@@ -154,6 +156,7 @@
 	if !w.runs[r] {
 		w.runs[r] = true
 		w.room = w.room.Add(r.task.step.reservedSize())
+		w.countRun(r, 1)
 	}
 }
 
@@ -162,6 +165,7 @@
 	if w.runs[r] {
 		delete(w.runs, r)
 		w.room = w.room.Sub(r.task.step.reservedSize())
+		w.countRun(r, -1)
 	}
 }
 
@@ -174,15 +178,25 @@
 	return size
 }
 
-// runsOfStep counts the runs of a step on the worker.
+// countRun adds n to the number of runs of a run's step, if they are counted.
+func (w *worker) countRun(r *run, n int) {
+	if w.stepRuns == nil {
+		return
+	}
+	if w.stepRuns[r.task.step] += n; w.stepRuns[r.task.step] == 0 {
+		delete(w.stepRuns, r.task.step)
+	}
+}
+
+// runsOfStep returns the number of runs of a step on the worker.
 func (w *worker) runsOfStep(s *step) int {
-	n := 0
-	for r := range w.runs {
-		if r.task.step == s {
-			n++
+	if w.stepRuns == nil {
+		w.stepRuns = map[*step]int{}
+		for r := range w.runs {
+			w.stepRuns[r.task.step]++
 		}
 	}
-	return n
+	return w.stepRuns[s]
 }
 
 // failureHalfLife is the time in which a failure score halves.
