Do not take a failed connection for a crash if heartbeats follow

What callers would see: a job given up whose task has no fault. The agent reports how an unannounced life ended. A connection that was reset or refused counted as the moment of a crash until a call was answered, also where the worker went on for seconds behind a fault of its connections and ended later, so that tasks that had just been started at the reset were suspected.

Change: a life whose heartbeat arrived after the failed call is not reported as crashed at that call. Its runs are still reported, as those of a life that ended silently, which count towards the limit of crashes alone.

Ruled out: not to report the runs. A task that crashes its workers would leave less evidence.

Tests: TestWorkerThatWasHeardOfAfterItsConnectionsFailedIsNoCrash; before, the time of the heartbeat was not looked at.

With it, the agent logs once that a worker has left.

--- a/agent/exec/departure.go
+++ b/agent/exec/departure.go
@@ -27,11 +27,14 @@
 	return l.ends.all()
 }
 
-// recordLeft records that the worker had deregistered and that its runs are over.
-func (l *lifeRecord) recordLeft() {
+// recordLeft records that the worker had deregistered and that its runs are over. It returns
+// false if that was recorded before.
+func (l *lifeRecord) recordLeft() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	isNew := !l.left
 	l.left = true
+	return isNew
 }
 
 func (l *lifeRecord) hasLeft() bool {
@@ -100,8 +103,7 @@
 	}
 	otherLife := errors.Is(err, spar.ErrOtherLife)
 	isOver := otherLife || l.isOver(e.clock())
-	if isOver {
-		l.recordLeft()
+	if isOver && l.recordLeft() {
 		e.Info("worker has left", "worker", l.life.ID, "born", l.life.Born, "answered_by_later_life", otherLife, "err", err)
 	}
 	e.departures.wake()
--- a/agent/exec/heartbeats.go
+++ b/agent/exec/heartbeats.go
@@ -35,6 +35,11 @@
 
 	mu   sync.Mutex
 	last *Heartbeat
+	// lastAt is when the last heartbeat arrived, and beforeAt when the last one did of the
+	// life before, which is named by before.
+	lastAt   time.Time
+	before   spar.Life
+	beforeAt time.Time
 	// deregistered is the last life that announced its end.
 	deregistered spar.Life
 	// deregisteredAt is when it did so, and drainedBefore whether it had reported before
@@ -66,6 +71,20 @@
 	return b.last
 }
 
+// HeardAt returns when the last heartbeat of the present life or of the one before arrived,
+// or zero for any other life.
+func (b *Heartbeats) HeardAt(l spar.Life) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.last != nil && b.last.Info.Life == l:
+		return b.lastAt
+	case b.before == l:
+		return b.beforeAt
+	}
+	return time.Time{}
+}
+
 // HasLeft reports whether a life of the worker has deregistered.
 func (b *Heartbeats) HasLeft(l spar.Life) bool {
 	b.mu.Lock()
@@ -139,7 +158,10 @@
 		}
 	}
 	r.Info.Draining = r.Info.Draining || r.Info.Life == b.leaving
-	b.last = &r
+	if old != nil && old.Info.Life != r.Info.Life {
+		b.before, b.beforeAt = old.Info.Life, b.lastAt
+	}
+	b.last, b.lastAt = &r, time.Now()
 	if b.deregistered == r.Info.Life && !r.Info.Draining {
 		// The call was late and of an earlier life with the same name.
 		b.deregistered = spar.Life{}
--- a/agent/exec/life.go
+++ b/agent/exec/life.go
@@ -28,6 +28,8 @@
 	// refused the connection of that call.
 	failedAt     time.Duration
 	disconnected bool
+	// failedTime is the same time as failedAt, to be compared with that of a heartbeat.
+	failedTime time.Time
 	// ends are those that no owner has acknowledged. moreEnds reports that the worker had
 	// others that it did not list.
 	ends     unackedEnds
@@ -131,7 +133,7 @@
 	case err == nil:
 		l.failedAt, l.disconnected = 0, false
 	case l.failedAt == 0 && !errors.Is(err, spar.ErrOtherLife):
-		l.failedAt, l.disconnected = now, errors.Is(err, spar.ErrDisconnected)
+		l.failedAt, l.failedTime, l.disconnected = now, time.Now(), errors.Is(err, spar.ErrDisconnected)
 	}
 }
 
@@ -142,12 +144,13 @@
 	return l.failedAt != 0
 }
 
-// end returns the report that the life is over. Without a failed call it is not
-// known when and how the life ended.
-func (l *lifeRecord) end() link.LifeEnd {
+// end returns the report that the life is over. heardAt is when its last heartbeat arrived.
+// Without a failed call it is not known when and how the life ended. A worker that was heard
+// of after the first one did not crash then: the call failed by a fault of its connection.
+func (l *lifeRecord) end(heardAt time.Time) link.LifeEnd {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := link.LifeEnd{Life: l.life, Crashed: l.disconnected}
+	e := link.LifeEnd{Life: l.life, Crashed: l.disconnected && !heardAt.After(l.failedTime)}
 	if l.failedAt == 0 {
 		return e
 	}
@@ -167,7 +170,7 @@
 		return e.lifeRecord
 	}
 	if e.lifeRecord != nil && !e.heartbeats.WasDraining(e.lifeRecord.life) {
-		end := e.lifeRecord.end()
+		end := e.lifeRecord.end(e.heartbeats.HeardAt(e.lifeRecord.life))
 		e.Warn("worker ended without leaving", "worker", end.Life.ID, "born", end.Life.Born, "crashed", end.Crashed, "runs", len(end.Runs), "youngest", end.YoungestAge())
 		e.Counter("worker_ends").Inc(1)
 		e.lifeEnds = append(e.lifeEnds, end)
--- a/agent/exec/life_test.go
+++ b/agent/exec/life_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -35,7 +36,7 @@
 	l.recordResult(errClosed, 5010*time.Millisecond)
 	l.recordStart(runOf("late", 1), 5100*time.Millisecond)
 	l.recordResult(errTimedOut, 6*time.Second)
-	e := l.end()
+	e := l.end(time.Time{})
 	ages := map[string]time.Duration{}
 	for _, r := range e.Runs {
 		ages[r.Task.Job] = r.Age
@@ -57,7 +58,7 @@
 	l.recordStart(runOf("running", 1), time.Second)
 	l.recordFencedLists(spar.RunLists{Running: []spar.Running{{Task: spar.TaskRef{Job: "running"}, Run: 1}}}, 2*time.Second)
 	l.recordResult(errClosed, 3*time.Second)
-	if e := l.end(); len(e.Runs) != 1 || e.Runs[0].Task.Job != "running" {
+	if e := l.end(time.Time{}); len(e.Runs) != 1 || e.Runs[0].Task.Job != "running" {
 		t.Fatalf("reported %+v", e.Runs)
 	}
 }
@@ -79,13 +80,45 @@
 			for i, err := range tt.results {
 				l.recordResult(err, time.Duration(i+1)*time.Second)
 			}
-			if e := l.end(); e.Crashed != tt.crashed {
+			if e := l.end(time.Time{}); e.Crashed != tt.crashed {
 				t.Fatalf("crashed %v, want %v", e.Crashed, tt.crashed)
 			}
 		})
 	}
 }
 
+// The connections of a worker are refused or reset while it is at work, and it ends some time
+// later. Its runs did not crash it when its connections failed: tasks would be given up that
+// have no fault. A heartbeat from after that shows that it was up.
+func TestWorkerThatWasHeardOfAfterItsConnectionsFailedIsNoCrash(t *testing.T) {
+	first, second := spar.Life{ID: "i-1", Born: 1}, spar.Life{ID: "i-2", Born: 2}
+	for name, heard := range map[string]bool{"heard of": true, "not heard of": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := common.Common{Logger: log.NewNopLogger(), Scope: tally.NoopScope}
+				b := NewHeartbeats(c, HeartbeatFormat{})
+				begun := time.Now()
+				e := NewExecutor(c, "n", b, &fakeWorker{}, nil, nil, func() time.Duration { return time.Since(begun) })
+				b.Accept(Heartbeat{Info: spar.WorkerInfo{Life: first}, Seq: 1})
+				l := e.recordLife(first)
+				l.recordStart(runOf("a", 1), e.clock())
+				time.Sleep(20 * time.Millisecond)
+				l.recordResult(errClosed, e.clock())
+				time.Sleep(time.Second)
+				if heard {
+					b.Accept(Heartbeat{Info: spar.WorkerInfo{Life: first}, Seq: 2})
+				}
+				time.Sleep(time.Second)
+				b.Accept(Heartbeat{Info: spar.WorkerInfo{Life: second}, Seq: 1})
+				e.recordLife(second)
+				if end := e.lifeEnds[0]; end.Crashed == heard || len(end.Runs) != 1 {
+					t.Errorf("crashed %v with %d runs, want %v with 1", end.Crashed, len(end.Runs), !heard)
+				}
+			})
+		})
+	}
+}
+
 // A worker that drained or signed off was not crashed by what ran on it, and an
 // agent that has just started knows nothing of the life before.
 func TestAnnouncedEndsAreNotReported(t *testing.T) {
--- a/agent/exec/session.go
+++ b/agent/exec/session.go
@@ -142,9 +142,9 @@
 	return <-errs
 }
 
-// reportLeft informs the owner if the worker had deregistered and its runs are proved to
-// be over. Each owner has to be informed, since a new
-// owner may still expect the worker's runs; it may not know how those ended either. It returns cause, the error that ends the
+// reportLeft informs the owner if the worker had deregistered and its runs are proved to be
+// over. Each owner has to be informed, also of the ends, since a new owner may still expect
+// the worker's runs and not know how they ended. It returns cause, the error that ends the
 // session, with that fact added.
 func (s *session) reportLeft(ctx context.Context, cause error) error {
 	if !s.recordLeft(ctx, s.life, s.listBegun, cause) {
