Gather in one file what begins and ends the lives of a worker

The functions came from session.go and scheduler.go, follow is supersede and the field follower successor. Two tests moved to left_test.go.

--- a/agent/exec/left_test.go
+++ b/agent/exec/left_test.go
@@ -163,3 +163,38 @@
 		b.expect(t, 0, 0, false)
 	})
 }
+
+// A worker leaves with a run on it, and its machine starts a later life at its address. The
+// answer of that life proves the end, so the entries must be told at once that it is over.
+func TestAllEntriesAreToldThatALaterLifeHasAnswered(t *testing.T) {
+	testDeparture(t, func(t *testing.T, b *departureBench) {
+		b.worker.change(func() { b.worker.running = []spar.Running{{Task: spar.TaskRef{Job: "b"}, Run: 1}} })
+		time.Sleep(time.Second)
+		b.beats.Deregister(workerLife.ID)
+		b.worker.change(func() { b.worker.replaced = true })
+		time.Sleep(200 * time.Millisecond)
+		b.expect(t, 3, 0, true)
+	})
+}
+
+// A worker has ended a run and leaves, and the owner that heard of the end is killed before it
+// has stored that. The worker is at work behind a fault of its connections: if the next owner
+// is told that it has left without the end, the run starts again, and the worker lists the end
+// when it is reached again.
+func TestNewOwnerIsToldTheEndsOfAWorkerThatHasLeft(t *testing.T) {
+	testDeparture(t, func(t *testing.T, b *departureBench) {
+		b.worker.change(func() { b.worker.ended = endsOf("a", "b") })
+		time.Sleep(time.Second)
+		b.set(func() { b.down = true })
+		time.Sleep(200 * time.Millisecond)
+		b.beats.Deregister(workerLife.ID)
+		b.worker.change(func() { b.worker.gone = true })
+		b.set(func() { b.down = false })
+		time.Sleep(time.Second)
+		b.set(func() {
+			if b.leaves == 0 || len(b.leftEnds) != 2 {
+				t.Errorf("the owner was told %d times, with %d ends, want 2", b.leaves, len(b.leftEnds))
+			}
+		})
+	})
+}
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -246,40 +246,6 @@
 	panic(errors.AssertionFailedf("run %d of task %s is on worker %s but not among the runs of its task", r.number, r.task.ref(), r.worker.node))
 }
 
-// endLife removes a worker, with all its runs, whose life is over or whose
-// leases have expired. reason says which, unless a crash of the worker is known.
-// Runs that may start in its next life are kept, and the worker with them; see
-// keepStray.
-func (sc *Scheduler) endLife(w *worker, reason string) {
-	for r := range w.runs {
-		if r.isStray(sc.now) {
-			continue
-		}
-		sc.onEvent(Event{Name: "run lost", Task: r.task.ref().String(), Run: r.number, Node: w.node, Reason: cmp.Or(r.crash, reason)})
-		sc.removeRun(r)
-	}
-	w.lifeEnded = true
-	if len(w.runs) > 0 {
-		w.token, w.listed, w.leasesExpire = 0, false, w.lastStray()
-		return
-	}
-	switch {
-	case sc.workers[w.node] != w:
-	case w.previous != nil:
-		sc.workers[w.node] = w.previous
-	default:
-		delete(sc.workers, w.node)
-	}
-}
-
-// endPrevious ends the life before the current one of a worker.
-func (sc *Scheduler) endPrevious(w *worker, reason string) {
-	p := w.previous
-	w.previous = nil
-	p.forgetStrays()
-	sc.endLife(p, reason)
-}
-
 // Tick removes workers whose leases have expired, adds occurrences that are due and
 // reports standing tasks that do not run.
 // now is a monotonic time and wall the time of day.
--- a/shard/session.go
+++ b/shard/session.go
@@ -49,54 +49,11 @@
 	w := &worker{node: node, info: info, token: token, runs: map[*run]bool{}, failureScoreAt: now}
 	if old != nil {
 		sc.onEvent(Event{Name: "worker in a new life", Node: node, Reason: info.Life.ID})
-		sc.follow(w, old, now)
+		sc.supersede(w, old, now)
 	}
 	sc.workers[node] = w
 }
 
-// follow has a life that is named follow the one before. Which of two lives of one name is
-// the later one is told by their times of birth, if the clocks have not jumped between.
-func (sc *Scheduler) follow(w, old *worker, now time.Time) {
-	w.nameReused = w.info.Life.ID == old.info.Life.ID
-	if w.nameReused {
-		w.leasesExpire = now.Add(maxOrderDelay + sc.limits.strayLeaseTime())
-	}
-	if w.nameReused && w.info.Life.Born > old.info.Life.Born {
-		sc.transferRuns(w, old)
-		sc.endLife(old, "worker in a new life")
-		sc.reserveAfterCrash(w, now)
-		return
-	}
-	if w.nameReused && old.follower != w.info.Life {
-		old.follower = w.info.Life
-		if w.leasesExpire.After(old.leasesExpire) {
-			old.leasesExpire = w.leasesExpire
-		}
-	}
-	old.token, old.listed = 0, false
-	w.previous = old
-}
-
-// confirmLife is called when a worker has answered in the life that is named, which proves
-// that the one before is over.
-func (sc *Scheduler) confirmLife(w *worker, now time.Time) {
-	if w.previous != nil {
-		sc.endPrevious(w, "worker in a new life")
-		sc.reserveAfterCrash(w, now)
-	}
-}
-
-// transferRuns moves the runs of a worker's previous life to its new one.
-func (sc *Scheduler) transferRuns(w, old *worker) {
-	old.forgetStrays()
-	for r := range old.runs {
-		r.worker = w
-		w.addRun(r)
-		sc.markTaskChanged(r.task)
-	}
-	old.runs, old.room, old.stepRuns = map[*run]bool{}, spar.Size{}, nil
-}
-
 // RemoveWorker ends the life of a worker that has announced its departure and whose runs
 // are over. It returns the life, and false if the session is over or the life cannot be
 // ended.
@@ -108,29 +65,6 @@
 	return w.info.Life, sc.endReportedLife(w, "")
 }
 
-// endReportedLife ends a life that is reported to be over, and reports whether no run of it
-// is left. It does not while runs of a life before, of the same name, are assigned to the
-// worker: the report says nothing about those. The leases on them run on.
-func (sc *Scheduler) endReportedLife(w *worker, reason string) bool {
-	if w.nameReused && len(w.runs) > 0 {
-		return false
-	}
-	sc.onEvent(Event{Name: "worker has left", Node: w.node, Reason: reason})
-	sc.endLife(w, "worker has left")
-	return len(w.runs) == 0
-}
-
-// EndLife ends a life of a worker that is known to be over, if the worker is still taken
-// for running.
-func (sc *Scheduler) EndLife(l spar.Life) {
-	for _, w := range sc.workers {
-		if w.info.Life == l {
-			sc.endReportedLife(w, "reported in an earlier term")
-			return
-		}
-	}
-}
-
 // Disconnect ends a session. The runs on the worker count as running until its
 // leases have expired.
 func (sc *Scheduler) Disconnect(node string, token int64) {
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -35,8 +35,8 @@
 	// previous is the life before, until the worker has answered in this one. Its runs may
 	// still be at work.
 	previous *worker
-	// follower is the last life of the same name that was named as one after this.
-	follower spar.Life
+	// successor is the last life of the same name that was named as one after this.
+	successor spar.Life
 	// fencedAt is when the worker was first listed under a token of this term. From then
 	// on it rejects orders of earlier sessions.
 	fencedAt time.Time
