Look for runs that may start late only on workers that have some

Tick looked at all runs of all workers in each round, and nearly no worker has such a run. A flag of the worker tells. No change of behaviour; ./shard and its linter passed.

--- a/shard/stray.go
+++ b/shard/stray.go
@@ -19,7 +19,7 @@
 	case !isOrderOfTerm || !r.worker.info.Draining || r.confirmed || r.task.step.Standing:
 		return false
 	case r.strayUntil.IsZero():
-		r.strayUntil = now.Add(maxOrderDelay)
+		r.strayUntil, r.worker.hasStrays = now.Add(maxOrderDelay), true
 		sc.onEvent(Event{Name: "start may be carried out late", Task: r.task.ref().String(), Run: r.number, Node: r.worker.node})
 	}
 	return true
@@ -31,8 +31,15 @@
 
 // expireStrays removes the runs of a worker whose start calls are not carried out any more.
 func (sc *Scheduler) expireStrays(w *worker, now time.Time) {
+	if !w.hasStrays {
+		return
+	}
+	w.hasStrays = false
 	for r := range w.runs {
-		if !r.strayUntil.IsZero() && !r.isStray(now) {
+		switch {
+		case r.isStray(now):
+			w.hasStrays = true
+		case !r.strayUntil.IsZero():
 			sc.removeRun(r)
 		}
 	}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -32,6 +32,8 @@
 	// nameReused reports whether the previous life had the same name, so that
 	// start orders to it may still arrive in this one.
 	nameReused bool
+	// hasStrays reports that runs may be kept by keepStray.
+	hasStrays bool
 	// previous is the life before, until the worker has answered in this one. Its runs may
 	// still be at work.
 	previous *worker
