--- /dev/null
+++ b/review/standin-3/main.go
@@ -0,0 +1,20 @@
+// Command standin runs a case of the review: it starts the project's programs with
+// stand-ins of the platform and of clients around, and checks one rule.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// cases are the cases by name.
+var cases = map[string]func(d *deployment, trouble bool) int{}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD, in the repository root")
+		os.Exit(2)
+	}
+	d := newDeployment(os.Args[2])
+	d.end(cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0"))
+}
