--- a/review/standin-3/crash.go
+++ b/review/standin-3/crash.go
@@ -13,6 +13,10 @@
 // crashDelay is how long after its start the task crashes its worker.
 const crashDelay = 11 * time.Second
 
+// crashedFor is how long a worker is away after a crash. It exceeds contactMs, so that the
+// machine of the worker is in touch when the task is started again.
+const crashedFor = 4 * time.Second
+
 // crashingTask hands in a job of one task that crashes each worker that starts it.
 func crashingTask(d *deployment, trouble bool) int {
 	d.configure(true, defaultQueue())
@@ -24,6 +28,7 @@
 	for i := range 5 {
 		name := fmt.Sprintf("worker-%d", i+1)
 		w := d.addWorker(name, d.addAgent("agent-"+name), 16000, 64000)
+		w.backAfter = crashedFor
 		w.sizeOf = func(string) (int64, int64) { return 1000, 1000 }
 		w.workOf = func(task string, run int64, spec string) work {
 			if spec == "crash" {
