--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -44,7 +44,14 @@
 	onCrash   func(w *worker, task string, run int64)
 	onPace    func(w *worker, task string, run, percent int64)
 	// rough returns the rough figure of a run, the fifth entry of its row; nil gives 100.
-	rough         func(w *worker, task string, r *run) int64
+	rough func(w *worker, task string, r *run) int64
+	// keepsID has the worker start again under the id that it had.
+	keepsID bool
+	// hangUntil is until when calls get no answer, and late is a start call that is carried
+	// out as the worker starts again; both may be set by onCall, which sees each start call.
+	hangUntil     time.Time
+	late          *orderBody
+	onCall        func(w *worker, b orderBody)
 	mu            sync.Mutex
 	up            bool
 	lives         int
@@ -98,9 +105,17 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lives++
-	w.id, w.born, w.up = w.name+"-"+strconv.Itoa(w.lives), time.Now(), true
+	if w.lives == 1 || !w.keepsID {
+		w.id = w.name + "-" + strconv.Itoa(w.lives)
+	}
+	w.born, w.up = time.Now(), true
 	w.token, w.leaseEnd, w.seq, w.endCount, w.acked = 0, 0, 0, 0, 0
 	w.runs, w.refused, w.ended = map[string]*run{}, map[string]int64{}, nil
+	if b := w.late; b != nil {
+		w.late, w.token = nil, b.FencingToken
+		code, out := w.start(*b)
+		w.d.note("%s carries out the call that it left unanswered: task %s run %d, fence number %d: %d %v", w.id, b.Task, b.Run, b.FencingToken, code, out)
+	}
 	l, err := net.Listen("tcp4", w.addr)
 	check(err)
 	m := http.NewServeMux()
@@ -234,8 +249,11 @@
 		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if !w.up {
-			return
+		if r.URL.Path == "/run-start" && w.onCall != nil {
+			w.onCall(w, b)
+		}
+		if !w.up || w.hangs(r) {
+			panic(http.ErrAbortHandler)
 		}
 		w.endDue()
 		code, out := w.checkCall(r, b)
@@ -247,6 +265,18 @@
 	}
 }
 
+// hangs leaves a call without an answer, until its sender gives up, and reports whether it
+// did. The lock is held, but not meanwhile.
+func (w *worker) hangs(r *http.Request) bool {
+	if !time.Now().Before(w.hangUntil) {
+		return false
+	}
+	w.mu.Unlock()
+	<-r.Context().Done()
+	w.mu.Lock()
+	return true
+}
+
 // checkCall checks the boot and the fence number of a call; 0 stands for a call in order.
 func (w *worker) checkCall(r *http.Request, b orderBody) (int, map[string]any) {
 	if id := r.Header.Get("Expect-Instance"); id != "" && id != w.id {
@@ -321,9 +351,9 @@
 		return
 	}
 	w.mu.Lock()
-	if !w.up {
+	if !w.up || w.hangs(r) {
 		w.mu.Unlock()
-		return
+		panic(http.ErrAbortHandler)
 	}
 	life := w.lives
 	w.endDue()
