Bound the memory that the owner takes for jobs

After seven accepted requests of 145 bytes (50,000 due occurrences each) the owner exceeds its 284 MB, as does each next owner, and no question about an accepted job is answered any more.

Cause: MaxTasks bounds one job; nothing bounded all of them, neither where a job is accepted nor where it is restored, and Tick added all due occurrences at once.

Change: the owner holds tasks by occurrence, while there is memory, and releases finished ones; jobs beyond the memory wait. Entries accept a job only if the owner can hold it: from an allowance, or by a reservation at the owner. Else 503 with Retry-After at once, or 504 if an earlier try may have been stored. The limit is a quarter of the machine (owner.job_memory_mb): clients have a third, and the heap takes up to twice what is live.

Why it works: what a job needs at least is counted before it is accepted, whatever its shape, and nothing beyond that is held without free memory.

--- a/entry/batch/daemon.go
+++ b/entry/batch/daemon.go
@@ -83,7 +83,7 @@
 		},
 		func(c *platform.Client) spar.Adviser { return newAdviser(c, s.Adviser) },
 		func(c common.Common, st spar.Store, ad spar.Adviser, w *config.Watcher, l *listeners) *owner.Candidate {
-			return owner.NewCandidate(c, s.Owner, st, ad, w, newMemberName(s.Name), link.EntryRecord{AgentAddress: cmp.Or(s.ReachAgents, s.Agents), PeerAddress: s.Admin}, c.Guard.Listen(l.agents, guard.Agents), clock.Now, owner.NewHTTPPeers())
+			return owner.NewCandidate(c, s.owner(), st, ad, w, newMemberName(s.Name), link.EntryRecord{AgentAddress: cmp.Or(s.ReachAgents, s.Agents), PeerAddress: s.Admin}, c.Guard.Listen(l.agents, guard.Agents), clock.Now, owner.NewHTTPPeers())
 		},
 		owner.NewClient,
 		func(c *owner.Client) jobapi.Jobs { return c },
--- a/entry/batch/settings.go
+++ b/entry/batch/settings.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// jobMemoryFraction is the fraction of the memory that an owner has for jobs. Clients take a
+// third, and the heap twice what is live.
+const jobMemoryFraction = 4
+
+// owner returns the settings of the owner, with those that are derived.
+func (s Settings) owner() owner.Settings {
+	o := s.Owner
+	if o.JobMemoryMB == 0 {
+		o.JobMemoryMB = int(s.Limits.MemoryBytes()>>20) / jobMemoryFraction
+	}
+	return o
+}
+
 func (s Settings) grace() time.Duration { return time.Duration(s.GraceMS) * time.Millisecond }
 
 // check returns an error if settings contradict each other.
--- a/entry/jobapi/refuse_test.go
+++ b/entry/jobapi/refuse_test.go
@@ -37,6 +37,10 @@
 var (
 	errRefused = errors.Mark(errors.New("busy"), spar.ErrRefused)
 	errUnknown = errors.Mark(errors.New("time-out"), spar.ErrUnknown)
+	// errNoMemory is the result if no try can have been stored, and errNoMemoryInDoubt if
+	// one may have been.
+	errNoMemory        = errors.Mark(errors.Mark(errors.New("full"), owner.ErrNoRoom), spar.ErrRefused)
+	errNoMemoryInDoubt = errors.Mark(errors.Mark(errors.New("full"), owner.ErrNoRoom), spar.ErrUnknown)
 )
 
 // A caller is refused, after a time that tells it when to come back, only if no try of
@@ -55,6 +59,9 @@
 		"stored":                                  {fakeJobs{results: []error{nil}}, "3000", 200, 1, "", time.Millisecond},
 		"store refuses":                           {fakeJobs{results: []error{errRefused}}, "3000", 503, 1, "2", time.Millisecond},
 		"no room in time":                         {fakeJobs{verdict: hopeless, results: []error{nil}}, "3000", 503, 0, "5", time.Millisecond},
+		"no memory":                               {fakeJobs{results: []error{errNoMemory}}, "3000", 503, 1, "2", time.Millisecond},
+		"no memory, a try elsewhere":              {fakeJobs{results: []error{errNoMemoryInDoubt}}, "3000", 504, 1, "", time.Millisecond},
+		"no answer, then no memory":               {fakeJobs{results: []error{errUnknown, errNoMemory}}, "3000", 504, 2, "", time.Second},
 		"repeat of a stored job, store away":      {fakeJobs{tried: owner.Stored, results: []error{errRefused}}, "3000", 200, 0, "", time.Millisecond},
 		"repeat of a stored job, no room":         {fakeJobs{tried: owner.Stored, verdict: hopeless}, "3000", 200, 0, "", time.Millisecond},
 		"repeat of one in doubt, no room":         {fakeJobs{tried: owner.InDoubt, verdict: hopeless, results: []error{nil}}, "3000", 200, 1, "", time.Millisecond},
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -209,7 +209,7 @@
 }
 
 // storeWithRetry repeats a write until the store has answered or the caller's
-// time is over. It refuses the request only if no try of the write, nor an earlier one
+// time is over, or there is no memory for a job. It refuses the request only if no try of the write, nor an earlier one
 // that is in doubt, can have been carried out.
 func (s *Server) storeWithRetry(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id, message string, inDoubt bool, write func() error) {
 	unanswered, begun := 0, time.Now()
@@ -225,9 +225,9 @@
 			s.refuseInvalid(c, id, q.Name, err)
 			return
 		case refused && unanswered == 0 && !inDoubt:
-			s.refuse(c, q, id, "store refuses", err)
+			s.refuse(c, q, id, refusalReason(err), err)
 			return
-		case ctx.Err() != nil:
+		case ctx.Err() != nil || errors.Is(err, owner.ErrNoRoom):
 			s.Warn("outcome unknown", "job", id, "queue", q.Name, "unsure", unanswered, "in_doubt", inDoubt, "took", time.Since(begun), "err", err)
 			s.Counter("unknown").Inc(1)
 			c.SetStatusCode(fasthttp.StatusGatewayTimeout)
@@ -240,6 +240,14 @@
 	}
 }
 
+// refusalReason names the reason of a refusal in logs and metrics.
+func refusalReason(err error) string {
+	if errors.Is(err, owner.ErrNoRoom) {
+		return "no memory"
+	}
+	return "store refuses"
+}
+
 func (s *Server) replyState(ctx context.Context, c *fasthttp.RequestCtx, q spar.Queue, id string) {
 	var status owner.JobStatus
 	err := s.queryWithRetry(ctx, func() (err error) {
--- a/entry/owner/candidate.go
+++ b/entry/owner/candidate.go
@@ -81,6 +81,7 @@
 // may be nil.
 func NewCandidate(c common.Common, s Settings, st spar.Store, ad spar.Adviser, w *config.Watcher, member string, self link.EntryRecord, agents net.Listener, clock func() time.Duration, p Peers) *Candidate {
 	store := intake.NewStore(c, st)
+	self.JobMemory = s.jobMemory()
 	return &Candidate{begunAt: time.Now(), peers: p, grants: grants{last: clock()}, Common: c, settings: s, store: store, jobs: intake.NewWriter(store, JobsTopic), adviser: ad, config: w, member: member, self: self, agentListener: agents, clock: clock}
 }
 
--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -40,11 +40,18 @@
 	relayedAt atomic.Int64
 	// heard is the newest load that the owner has told.
 	heard heardLoad
+	// allowance is the memory for jobs that this entry may fill without asking, and
+	// roomQuestions holds an element for each question for more.
+	allowance     allowance
+	roomQuestions chan struct{}
 }
 
 // NewClient returns a client in the process of a candidate.
 func NewClient(c common.Common, candidate *Candidate, directory *track.Directory) *Client {
-	return &Client{Common: c, candidate: candidate, directory: directory}
+	return &Client{
+		Common: c, candidate: candidate, directory: directory,
+		allowance: newAllowance(candidate.settings.jobMemory()), roomQuestions: make(chan struct{}, maxRoomQuestions),
+	}
 }
 
 // reply is the answer to another entry's query.
@@ -176,6 +183,7 @@
 	})
 	r.POST("/records", c.storeForPeer)
 	c.addAdmissionRoutes(r)
+	r.POST(roomPath, c.answerRoom)
 	r.POST(explainPath, c.answerExplanation)
 	r.POST(grantsPath, c.answerGrants)
 	r.GET(departuresPath, c.answerDepartures)
--- a/entry/owner/settings.go
+++ b/entry/owner/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/berylspar/spar"
+	"github.com/berylspar/spar/shard"
 	"github.com/berylspar/spar/triage"
 	"github.com/cockroachdb/errors"
 )
@@ -35,6 +36,8 @@
 	CallBytes   int `json:"call_bytes" jsonschema:"minimum=4096,maximum=67108864,description=largest append that the store accepts in bytes"`
 	// KeepMS is how long an ended job can still be queried.
 	KeepMS int64 `json:"keep_ms" jsonschema:"minimum=1000,maximum=86400000,description=time for which an ended job stays readable in ms"`
+	// JobMemoryMB is the memory that the owner has for jobs.
+	JobMemoryMB int `json:"job_memory_mb" jsonschema:"minimum=0,maximum=1048576,description=memory that the owner has for jobs in MB; jobs beyond it are refused (0: a quarter of limits.memory_mb)"`
 	// Admission tells whether jobs are refused when there is too little room.
 	Admission AdmissionSettings `json:"admission" jsonschema:"description=whether jobs are refused when there is too little room"`
 	// Order decides which jobs get room first where there is too little for all.
@@ -81,6 +84,9 @@
 	return min(cmp.Or(s.CallBytes, DefaultSettings().CallBytes), maxAppendBytes)
 }
 
+// jobMemory is the memory that the owner has for jobs in bytes.
+func (s Settings) jobMemory() int64 { return cmp.Or(int64(s.JobMemoryMB)<<20, shard.DefaultHoldBytes) }
+
 func (s Settings) ttl() time.Duration {
 	return time.Duration(max(s.TTLMS, s.LeastTTLMS)) * time.Millisecond
 }
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -74,6 +74,8 @@
 	sessionCount int64
 	// refusals are the jobs that were refused for want of room; stateMu guards it.
 	refusals refusals
+	// reservations are the jobs that memory was granted for; stateMu guards it.
+	reservations reservations
 	// departures are the workers that have left in this term, and handledDepartures
 	// the keys of earlier ones that are to be dropped.
 	departures        departures
@@ -85,7 +87,7 @@
 
 func newTerm(c *Candidate, epoch int64, until time.Duration) *term {
 	t := &term{Candidate: c, epoch: epoch, wake: make(chan struct{}, 1), ended: make(chan struct{}), sessions: map[string]*session{}}
-	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep(), RecordBytes: c.settings.valueBytes(), Order: c.settings.Order, FillHarm: c.settings.FillHarm}, t.logEvent)
+	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep(), RecordBytes: c.settings.valueBytes(), HoldBytes: c.settings.jobMemory(), Order: c.settings.Order, FillHarm: c.settings.FillHarm}, t.logEvent)
 	t.jobs = &track.Follower{
 		Store: c.store, Topic: JobsTopic, Wait: jobsReadWait, OnSnapshot: t.applyJobRecords, OnRecords: t.applyJobRecords,
 		OnError: func(err error) { t.Warn("could not read the jobs topic", "err", err) },
--- a/entry/owner/write.go
+++ b/entry/owner/write.go
@@ -41,12 +41,16 @@
 // which may reach the store when this one does not.
 
 // Submit stores a submission. It fails with spar.ErrInvalid if the store would refuse
-// the record for its size.
+// the record for its size, and with ErrNoRoom if the owner has no memory for the job; in
+// doubt is then only whether an earlier try was stored.
 func (c *Client) Submit(ctx context.Context, j spar.Job) error {
 	r := spar.Record{Key: JobPrefix + j.ID, Value: shard.EncodeJob(j)}
 	if err := c.candidate.settings.checkValue(r); err != nil {
 		return errors.Wrapf(err, "steps: %d", len(j.Steps))
 	}
+	if err := c.makeRoom(ctx, &j); err != nil {
+		return err
+	}
 	c.candidate.tries.begin(j.ID, time.Now())
 	err := c.write(ctx, r)
 	c.candidate.tries.end(j.ID, outcomeOf(err), time.Now())
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -60,6 +60,9 @@
 	return max(1, min(upTo, cmp.Or(l.BodyBytes, upTo), (l.FlightBytes()-openBytes-requestBytes)/bodyCost))
 }
 
+// MemoryBytes returns the memory that the process may use.
+func (l Limits) MemoryBytes() int64 { return int64(l.memoryMB()) * megabyte }
+
 func (l Limits) memoryMB() int { return cmp.Or(l.MemoryMB, defaultMemoryMB) }
 
 // The times of the settings of the same name.
--- a/link/record.go
+++ b/link/record.go
@@ -29,6 +29,9 @@
 	// is of a build that does not list them.
 	Predecessors      []Predecessor `msgpack:"q,omitempty"`
 	ListsPredecessors bool          `msgpack:"l,omitempty"`
+	// JobMemory is the memory in bytes that the entry has for jobs as the owner, or 0 if
+	// that is not known.
+	JobMemory int64 `msgpack:"m,omitempty"`
 }
 
 // Encode returns the stored form.
--- a/shard/copy.go
+++ b/shard/copy.go
@@ -70,6 +70,7 @@
 
 func (c *copier) occurrence(o *occurrence, j *job) *occurrence {
 	out := *o
+	out.job = j
 	out.steps = make([]*step, len(o.steps))
 	for i, s := range o.steps {
 		cs := *s
--- a/shard/crash_record.go
+++ b/shard/crash_record.go
@@ -106,7 +106,10 @@
 		j.failure = c.Failure
 	}
 	for _, tc := range c.Tasks {
-		if err := j.ensureOccurrence(tc.Task.Occur); err != nil {
+		if j.finished.has(tc.Task.Occur) {
+			continue
+		}
+		if err := sc.ensureOccurrence(j, tc.Task.Occur); err != nil {
 			return err
 		}
 		t := j.findTask(tc.Task)
--- a/shard/expiry.go
+++ b/shard/expiry.go
@@ -27,10 +27,25 @@
 	for _, id := range ids {
 		if j := sc.jobs[id]; j != nil {
 			j.submissionDropped = true
+			sc.forgetTasks(j)
 		}
 	}
 }
 
+// forgetTasks forgets all of an ended job but what is told of it, if it has no runs.
+func (sc *Scheduler) forgetTasks(j *job) {
+	if sc.hasRuns(j) {
+		return
+	}
+	for _, o := range j.occurrences {
+		sc.forgetSuspects(o)
+	}
+	crashesStored := j.crashesStored
+	j.occurrences, j.Steps, j.Spec, j.storage = nil, nil, "", newStorage(nil)
+	j.crashesStored = crashesStored
+	sc.addMemory(j, endedFootprint, endedFootprint)
+}
+
 // ExpiredCancels returns cancels of jobs that have not arrived within the retention, at most
 // limit. They are to be dropped.
 func (sc *Scheduler) ExpiredCancels(limit int) []string {
@@ -69,6 +84,7 @@
 		}
 		delete(sc.jobs, id)
 		delete(sc.changedJobs, j)
+		sc.addMemory(j, 0, 0)
 		sc.droppedKeys = append(sc.droppedKeys, id)
 		if j.crashesStored {
 			sc.droppedKeys = append(sc.droppedKeys, crashPrefix+id)
@@ -78,14 +94,5 @@
 }
 
 func (sc *Scheduler) hasRuns(j *job) bool {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				if len(t.runs) > 0 {
-					return true
-				}
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(j.occurrences, (*occurrence).hasRuns)
 }
--- a/shard/harness_test.go
+++ b/shard/harness_test.go
@@ -133,7 +133,7 @@
 // replaceOwner replaces the scheduler by a new one restored from the stored
 // records. Restored runs count as present for the given time.
 func (h *harness) replaceOwner(wait time.Duration) {
-	h.scheduler = shard.NewScheduler(limits, h.recordEvent)
+	h.scheduler = shard.NewScheduler(h.limit, h.recordEvent)
 	h.setRules()
 	for _, v := range h.jobs {
 		j, err := shard.DecodeJob(v)
--- a/shard/job.go
+++ b/shard/job.go
@@ -29,8 +29,14 @@
 	// reportedState is the state that callers see: the last stored one, or
 	// Cancelled from the time when the cancel is read.
 	reportedState State
-	// occurrences holds the occurrences that were due, by number.
+	// occurrences are those that are held, by number. Of the due ones, whose number due
+	// is, the others are finished, or wait for memory; none below next waits.
 	occurrences []*occurrence
+	finished    numberSet
+	due, next   int
+	// unstarted counts the occurrences that are held and of which no task has started.
+	unstarted int
+	memory
 	// started reports whether any task of the job has started.
 	started bool
 	// failure says why the job has failed.
@@ -52,9 +58,14 @@
 // occurrence is one execution of a job's steps. A job that runs once has one, a
 // job on a schedule one per due time.
 type occurrence struct {
+	job    *job
 	number int
 	steps  []*step
 	due    time.Time
+	// unfinished counts the steps with tasks that are not done.
+	unfinished int
+	// started reports whether a run of a task was claimed.
+	started bool
 	// criticalPath is the longest path through the steps, by their estimates or
 	// by forecast.
 	criticalPath time.Duration
@@ -152,6 +163,7 @@
 func newJob(j spar.Job, now time.Time) *job {
 	out := &job{Job: j, policy: j.Policy, state: Queued, reportedState: Queued, firstSeen: now}
 	out.storage = newStorage(j.Steps)
+	out.footprint = footprintOf(&out.Job)
 	return out
 }
 
@@ -163,9 +175,9 @@
 	return out
 }
 
-// addOccurrence adds an occurrence with all its tasks to a job.
-func (j *job) addOccurrence(number int, due time.Time) *occurrence {
-	o := &occurrence{number: number, due: due}
+// newOccurrence returns an occurrence with all its tasks, of which none has begun.
+func (j *job) newOccurrence(number int, due time.Time) *occurrence {
+	o := &occurrence{job: j, number: number, due: due, unfinished: len(j.Steps)}
 	for i, s := range j.Steps {
 		st := &step{Step: s, job: j, occurrence: o, index: i, unfinished: s.Count}
 		for k := range s.Count {
@@ -174,17 +186,53 @@
 		o.steps = append(o.steps, st)
 	}
 	o.criticalPath = o.longestPath()
-	j.occurrences = append(j.occurrences, o)
 	return o
 }
 
-// findTask returns the named task, or nil if the job does not have it.
-func (j *job) findTask(ref spar.TaskRef) *task {
-	if ref.Occur < 0 || ref.Occur >= len(j.occurrences) {
-		return nil
+// newFinishedOccurrence returns an occurrence whose tasks are done.
+func (j *job) newFinishedOccurrence(number int) *occurrence {
+	o := j.newOccurrence(number, time.Time{})
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			t.lastRun = 1
+			t.markDone()
+		}
 	}
-	o := j.occurrences[ref.Occur]
-	if ref.Step < 0 || ref.Step >= len(o.steps) || ref.Index < 0 || ref.Index >= len(o.steps[ref.Step].tasks) {
+	return o
+}
+
+// markDone marks a task as done, which may finish its step and its occurrence.
+func (t *task) markDone() {
+	s := t.step
+	t.done = true
+	if s.unfinished--; s.unfinished == 0 {
+		s.occurrence.unfinished--
+	}
+}
+
+// markStarted records that a run of the occurrence was claimed.
+func (o *occurrence) markStarted() {
+	if !o.started {
+		o.started = true
+		o.job.unstarted--
+	}
+}
+
+func (o *occurrence) hasRuns() bool {
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			if len(t.runs) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// findTask returns the named task, or nil if the job does not have it or does not hold it.
+func (j *job) findTask(ref spar.TaskRef) *task {
+	o := j.heldOccurrence(ref.Occur)
+	if o == nil || ref.Step < 0 || ref.Step >= len(o.steps) || ref.Index < 0 || ref.Index >= len(o.steps[ref.Step].tasks) {
 		return nil
 	}
 	return o.steps[ref.Step].tasks[ref.Index]
--- a/shard/parts.go
+++ b/shard/parts.go
@@ -26,26 +26,51 @@
 	return (t.step.occurrence.number*j.occurrenceTasks() + j.stepOffsets[t.step.index] + t.index) / partTasks
 }
 
-// partCount is the number of parts of the job's occurrences so far.
+// partCount is the number of parts of the occurrences that have been held so far.
 func (j *job) partCount() int {
-	return (len(j.occurrences)*j.occurrenceTasks() + partTasks - 1) / partTasks
+	return (j.lastHeld()*j.occurrenceTasks() + partTasks - 1) / partTasks
 }
 
-// tasksOfPart returns the tasks of a part.
+// lastHeld is the number of the occurrences up to the last one that has been held.
+func (j *job) lastHeld() int {
+	last := max(j.next, min(j.finished.limit(), j.Times))
+	if n := len(j.occurrences); n > 0 {
+		last = max(last, j.occurrences[n-1].number+1)
+	}
+	return last
+}
+
+// tasksOfPart returns the tasks of a part, without those of occurrences that have not been
+// held yet. Those of finished occurrences are made up for it.
 func (j *job) tasksOfPart(part int) []*task {
 	var out []*task
 	perOccurrence := j.occurrenceTasks()
-	for n := part * partTasks; n < (part+1)*partTasks && n/perOccurrence < len(j.occurrences); n++ {
+	var o *occurrence
+	for n := part * partTasks; n < (part+1)*partTasks && n/perOccurrence < max(j.Times, 1); n++ {
+		if number := n / perOccurrence; o == nil || o.number != number {
+			o = j.storedOccurrence(number)
+		}
+		if o == nil {
+			continue
+		}
 		offset := n % perOccurrence
 		step, found := slices.BinarySearch(j.stepOffsets, offset)
 		if !found {
 			step--
 		}
-		out = append(out, j.occurrences[n/perOccurrence].steps[step].tasks[offset-j.stepOffsets[step]])
+		out = append(out, o.steps[step].tasks[offset-j.stepOffsets[step]])
 	}
 	return out
 }
 
+// storedOccurrence returns an occurrence that is held or finished, or nil.
+func (j *job) storedOccurrence(number int) *occurrence {
+	if j.finished.has(number) {
+		return j.newFinishedOccurrence(number)
+	}
+	return j.heldOccurrence(number)
+}
+
 // dropParts returns records that drop all parts of a job.
 func (j *job) dropParts() []spar.Record {
 	var out []spar.Record
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -185,6 +185,7 @@
 	r := &run{task: t, worker: p.worker, number: number, token: p.token, pace: p.pace, started: now, resumed: t.checkpoint != ""}
 	t.lastRun = number
 	t.runs = append(t.runs, r)
+	t.step.occurrence.markStarted()
 	p.addRun(r)
 	p.allocate(sc, t.step)
 	sc.claimedRuns = append(sc.claimedRuns, r)
--- a/shard/progress.go
+++ b/shard/progress.go
@@ -44,8 +44,12 @@
 // encode returns the stored form of a job's progress as a whole.
 func (j *job) encode() []byte {
 	p := progress{State: j.state, Begun: j.started}
-	for _, o := range j.occurrences {
-		op := occurProgress{Number: o.number}
+	for n := range j.lastHeld() {
+		o := j.storedOccurrence(n)
+		if o == nil {
+			continue
+		}
+		op := occurProgress{Number: n}
 		for _, s := range o.steps {
 			op.Tasks = appendTasks(op.Tasks, s.tasks, true)
 		}
--- a/shard/report.go
+++ b/shard/report.go
@@ -67,7 +67,7 @@
 func (sc *Scheduler) adoptRun(w *worker, row spar.Running, now time.Time) {
 	j := sc.jobs[row.Task.Job]
 	var t *task
-	if j != nil {
+	if j != nil && sc.ensureOccurrence(j, row.Task.Occur) == nil {
 		t = j.findTask(row.Task)
 	}
 	if t == nil {
@@ -80,6 +80,7 @@
 	r := &run{task: t, worker: w, number: row.Run, ordered: true, token: w.token, pace: 100, started: now}
 	keep := !j.hasEnded() && !t.done && len(t.runs) == 0 && row.Run == t.lastRun
 	t.runs = append(t.runs, r)
+	t.step.occurrence.markStarted()
 	w.addRun(r)
 	sc.markTaskChanged(t)
 	sc.confirmRun(r, now)
--- a/shard/restore.go
+++ b/shard/restore.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -17,6 +18,7 @@
 func (sc *Scheduler) Restore(records []spar.Record, now, expires time.Time) []error {
 	sc.now = now
 	var out []error
+	records = inPartOrder(records)
 	load := func(prefixed bool, restore func(spar.Record) error) {
 		for _, r := range records {
 			if strings.HasPrefix(r.Key, "#") != prefixed {
@@ -30,12 +32,21 @@
 	// The parts of a job that has ended are not loaded.
 	load(false, func(r spar.Record) error { return sc.restoreJob(r.Key, r.Value, now, expires) })
 	load(true, func(r spar.Record) error { return sc.restoreOther(r, expires) })
+	sc.holdDue(now, sc.wall)
 	sc.completeGangs(now)
 	sc.restoreEnds(now)
 	slices.SortStableFunc(sc.retiredJobs, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
 	return out
 }
 
+// inPartOrder returns the records in an order in which the parts of a job follow one another,
+// so that few of its occurrences are held of which only some tasks have been loaded.
+func inPartOrder(records []spar.Record) []spar.Record {
+	return slices.SortedStableFunc(slices.Values(records), func(a, b spar.Record) int {
+		return cmp.Or(len(a.Key)-len(b.Key), cmp.Compare(a.Key, b.Key))
+	})
+}
+
 // storedEndError is how much earlier than the moment at which callers could see the end of
 // a job the stored time may be: a commit may take maxEndDelay, and the time is in seconds.
 const storedEndError = maxEndDelay + time.Second
@@ -93,6 +104,7 @@
 		j = newEndedJob(id, &p, now)
 		sc.jobs[id] = j
 		sc.retiredJobs = append(sc.retiredJobs, j)
+		sc.addMemory(j, endedFootprint, endedFootprint)
 		return nil
 	case j == nil:
 		// Only the submissions of jobs that have ended are dropped.
@@ -132,7 +144,10 @@
 
 func (sc *Scheduler) restoreTasks(j *job, rows []occurProgress, expires time.Time) error {
 	for _, op := range rows {
-		if err := j.ensureOccurrence(op.Number); err != nil {
+		if j.finished.has(op.Number) {
+			continue
+		}
+		if err := sc.ensureOccurrence(j, op.Number); err != nil {
 			return err
 		}
 		for _, tp := range op.Tasks {
@@ -142,6 +157,9 @@
 			}
 			sc.restoreTask(t, tp, expires)
 		}
+		if o := j.heldOccurrence(op.Number); o.unfinished == 0 && j.Times > 0 {
+			sc.release(o)
+		}
 	}
 	return nil
 }
@@ -159,13 +177,13 @@
 		}
 	}
 	if p.Done && !t.done {
-		t.done = true
-		t.step.unfinished--
+		t.markDone()
 	}
 	if p.Last > t.lastRun || p.Last == t.lastRun && p.Saved != "" {
 		t.checkpoint = p.Saved
 	}
 	t.lastRun, t.idleSince = max(t.lastRun, p.Last), sc.now
+	t.step.occurrence.markStarted()
 	if t.done {
 		for _, r := range t.runs {
 			r.worker.removeRun(r)
@@ -221,13 +239,21 @@
 	}
 }
 
-// ensureOccurrence adds an occurrence, and those before it, that do not exist yet.
-func (j *job) ensureOccurrence(number int) error {
+// ensureOccurrence holds an occurrence that is not finished, whatever memory there is: what
+// is known of its tasks would be lost.
+func (sc *Scheduler) ensureOccurrence(j *job, number int) error {
 	if number < 0 || number >= max(j.Times, 1) {
 		return errors.Newf("the job has no occurrence %d", number)
 	}
-	for k := len(j.occurrences); k <= number; k++ {
-		j.addOccurrence(k, j.First.Add(time.Duration(k)*j.Interval))
+	if len(j.Steps) == 0 {
+		return errors.New("the tasks of the job are forgotten")
+	}
+	if j.heldOccurrence(number) == nil && !j.finished.has(number) {
+		due := j.firstSeen
+		if j.Times > 0 {
+			due = j.First.Add(time.Duration(number) * j.Interval)
+		}
+		sc.hold(j, number, due)
 	}
 	return nil
 }
--- a/shard/run_end.go
+++ b/shard/run_end.go
@@ -83,9 +83,12 @@
 		if t.done {
 			continue
 		}
-		t.done = true
-		t.step.unfinished--
-		t.step.occurrence.forecast.at = time.Time{}
+		t.markDone()
+		o := t.step.occurrence
+		o.forecast.at = time.Time{}
+		if o.unfinished == 0 && o.job.Times > 0 {
+			sc.finishedOccurrences = append(sc.finishedOccurrences, o)
+		}
 		sc.markTaskChanged(t)
 		for _, r := range t.runs {
 			sc.stopRun(r)
@@ -95,17 +98,10 @@
 
 // isComplete reports whether every task of every occurrence is done.
 func (j *job) isComplete() bool {
-	if len(j.occurrences) < max(j.Times, 1) {
+	if j.finished.count+len(j.occurrences) < max(j.Times, 1) {
 		return false
 	}
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.unfinished > 0 {
-				return false
-			}
-		}
-	}
-	return true
+	return !slices.ContainsFunc(j.occurrences, func(o *occurrence) bool { return o.unfinished > 0 })
 }
 
 // recordFailure counts a failed run and ends the job as failed at the limit of
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -23,6 +23,8 @@
 	// RecordBytes is the largest value of a record that the store accepts, or 0 for
 	// defaultRecordBytes.
 	RecordBytes int
+	// HoldBytes is the memory for jobs, or 0 for DefaultHoldBytes.
+	HoldBytes int64
 	// Order decides which jobs get room first.
 	Order triage.Policy
 	// FillHarm is for how many task-seconds a core-second of a fill may bring serving
@@ -58,6 +60,12 @@
 	suspects    map[*task]bool
 	trials      trialSlots
 	changedJobs map[*job]bool
+	// finishedOccurrences are to be released when they have no runs.
+	finishedOccurrences []*occurrence
+	// needed and held are the sums of the memory of all jobs, and lacking is the number
+	// of jobs that wait for memory.
+	needed, held int64
+	lacking      int
 	// startLimit counts the starts of the pass of Plan.
 	startLimit startLimit
 	// claimedRuns are runs whose start orders are sent once the claims are
@@ -142,19 +150,26 @@
 
 // Submit adds a job. It ignores a job that is already known.
 func (sc *Scheduler) Submit(s spar.Job, now time.Time) {
+	if j := sc.addJob(s, now); j != nil && s.Times == 0 && !j.hasEnded() {
+		sc.holdFirst(j, now)
+	}
+}
+
+// addJob adds a job without holding its tasks. It returns nil if the job is already known.
+func (sc *Scheduler) addJob(s spar.Job, now time.Time) *job {
 	if sc.jobs[s.ID] != nil {
-		return
+		return nil
 	}
 	j := newJob(s, now)
 	j.policy = sc.policy(j)
 	sc.jobs[s.ID] = j
 	sc.activeJobs[j] = true
-	if s.Times == 0 {
-		j.addOccurrence(0, now)
-	}
+	j.due = j.countDue(sc.wall)
+	sc.charge(j)
 	if _, ok := sc.earlyCancels[s.ID]; ok {
 		sc.Cancel(s.ID, now)
 	}
+	return j
 }
 
 // maxArrivalAge bounds the age of a job that SubmitEarlier believes: the time of day of
@@ -163,10 +178,10 @@
 
 // SubmitEarlier adds a job that was accepted before this owner's term. Its wait counts
 // from then: a job that each owner lets wait anew may never start if owners change often.
-// wall is the time of day.
+// wall is the time of day. Its tasks are held by Restore, or by the next Tick.
 func (sc *Scheduler) SubmitEarlier(s spar.Job, now, wall time.Time) {
 	age := min(max(wall.Sub(s.Accepted), 0), maxArrivalAge)
-	sc.Submit(s, now.Add(-age))
+	sc.addJob(s, now.Add(-age))
 }
 
 // Cancel ends a job and stops its runs. A cancel of an unknown job is kept for
@@ -209,6 +224,7 @@
 		sc.interference.ForgetJob(j.ID)
 		sc.swings.ForgetJob(j.ID)
 		sc.retiredJobs = append(sc.retiredJobs, j)
+		sc.charge(j)
 	}
 }
 
@@ -246,7 +262,7 @@
 	panic(errors.AssertionFailedf("run %d of task %s is on worker %s but not among the runs of its task", r.number, r.task.ref(), r.worker.node))
 }
 
-// Tick removes workers whose leases have expired, adds occurrences that are due and
+// Tick removes workers whose leases have expired, holds occurrences that are due and
 // reports standing tasks that do not run.
 // now is a monotonic time and wall the time of day.
 func (sc *Scheduler) Tick(now, wall time.Time) {
@@ -264,15 +280,8 @@
 			sc.endLife(w, "leases ended")
 		}
 	}
-	for j := range sc.activeJobs {
-		for k := len(j.occurrences); k < j.Times; k++ {
-			due := j.First.Add(time.Duration(k) * j.Interval)
-			if wall.Before(due) {
-				break
-			}
-			j.addOccurrence(k, now)
-		}
-	}
+	sc.releaseFinished()
+	sc.holdDue(now, wall)
 	for id, at := range sc.earlyCancels {
 		if now.Sub(at) > sc.limits.Retention {
 			delete(sc.earlyCancels, id)
--- a/shard/storage.go
+++ b/shard/storage.go
@@ -89,7 +89,7 @@
 // storeDueCheckpoints has the next commit store the checkpoints of a job if that is
 // due.
 func (sc *Scheduler) storeDueCheckpoints(j *job, now time.Time) {
-	tasks := len(j.occurrences) * j.occurrenceTasks()
+	tasks := j.due * j.occurrenceTasks()
 	interval := checkpointStoreInterval * time.Duration(1+tasks/tasksPerCheckpointStore)
 	if len(j.checkpointParts) == 0 || now.Sub(j.storedAt) < interval {
 		return
--- a/track/directory.go
+++ b/track/directory.go
@@ -57,6 +57,20 @@
 	return d.addresses(func(r link.EntryRecord) string { return r.AgentAddress })
 }
 
+// LeastJobMemory returns the least memory that an entry has for jobs as the owner, in bytes,
+// or 0 if it is not known of any.
+func (d *Directory) LeastJobMemory() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var least int64
+	for _, r := range d.entries {
+		if r.JobMemory > 0 && (least == 0 || r.JobMemory < least) {
+			least = r.JobMemory
+		}
+	}
+	return least
+}
+
 // addresses returns the distinct addresses of one kind in their order.
 func (d *Directory) addresses(of func(link.EntryRecord) string) []string {
 	d.mu.Lock()
