Bound what a planning pass costs, and how long it holds the state

Cause: a pass summed over all steps of an occurrence, all tasks of a job, all earlier requirements or all images for each step, under the lock that grants and answers wait for; nothing bounded the pass.

Why it works: no part of a pass grows faster than the steps and tasks that wait, whose number the memory for jobs bounds, and the lock is free for as long as it was held.

--- a/entry/owner/loop.go
+++ b/entry/owner/loop.go
@@ -9,6 +9,13 @@
 	"github.com/berylspar/spar/track"
 )
 
+const (
+	// longPass is the duration from which a pass is logged: callers wait for the lock of
+	// the state as long. longPassLogInterval is the shortest time between two lines.
+	longPass            = 200 * time.Millisecond
+	longPassLogInterval = 5 * time.Second
+)
+
 // loop plans, stores decisions and sends orders until the term ends. One append
 // is in flight at a time; decisions made meanwhile go into the next.
 func (t *term) loop(ctx context.Context) {
@@ -16,6 +23,7 @@
 	defer tick.Stop()
 	stored := make(chan bool, 1)
 	var inFlight *shard.Commit
+	var rest <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -33,10 +41,14 @@
 			t.applyConfig()
 			t.stateMu.Unlock()
 		case <-tick.C:
+		case <-rest:
 		case <-t.wake:
 			track.Pause(ctx, batchDelay)
 		}
-		next := t.decide(inFlight == nil)
+		next, cut := t.decide(inFlight == nil)
+		if rest = nil; cut {
+			rest = time.After(time.Until(t.planAfter))
+		}
 		if next != nil {
 			inFlight = next
 			go func() { stored <- t.storeCommit(ctx, next) }()
@@ -45,14 +57,17 @@
 }
 
 // decide plans and sends the messages that need nothing stored. It returns the
-// next commit, or nil if there is nothing to store or the store is not idle.
-func (t *term) decide(storeIdle bool) *shard.Commit {
+// next commit, or nil if there is nothing to store or the store is not idle, and whether
+// planning goes on as soon as it may.
+func (t *term) decide(storeIdle bool) (next *shard.Commit, cut bool) {
 	now := time.Now()
 	var requests []shard.AdviceRequest
 	t.stateMu.Lock()
 	t.scheduler.Tick(now, now)
-	if t.isValid() && t.checkInputs(now) {
+	mayPlan := t.isValid() && t.checkInputs(now)
+	if cut = mayPlan && t.isPaused(now); mayPlan && !cut {
 		t.scheduler.Plan(now)
+		cut = t.scheduler.IsPassCut()
 		t.reportBacklog(now)
 		t.reportFills(now)
 		if t.adviser != nil {
@@ -65,19 +80,37 @@
 		}
 	}
 	t.send(t.scheduler.StopAndPaceMessages())
-	var next *shard.Commit
 	if storeIdle {
 		if c := t.scheduler.PrepareCommit(); !c.Empty() {
 			next = c
 			t.departures.prepared()
 		}
 	}
-	t.passTime.Store(int64(time.Since(now)))
+	took := time.Since(now)
 	t.stateMu.Unlock()
+	t.recordPass(took)
 	for _, q := range requests {
 		go t.requestAdvice(t.ctx, q)
 	}
-	return next
+	return next, cut
+}
+
+// isPaused reports whether it is too soon after a long pass for the next one.
+func (t *term) isPaused(now time.Time) bool { return now.Before(t.planAfter) }
+
+// recordPass leaves as much time as a pass took to the others that wait for the lock and the
+// processor.
+func (t *term) recordPass(took time.Duration) {
+	now := time.Now()
+	t.passTime.Store(int64(took))
+	if took > batchDelay {
+		t.planAfter = now.Add(took)
+	}
+	t.Timer("pass").Record(took)
+	if took >= longPass && now.Sub(t.longPassAt) >= longPassLogInterval {
+		t.longPassAt = now
+		t.Warn("planning pass was long", "took", took, "epoch", t.epoch)
+	}
 }
 
 // storeCommit stores a commit. It reports whether the commit is stored; a job whose
--- a/entry/owner/takeover.go
+++ b/entry/owner/takeover.go
@@ -44,13 +44,16 @@
 // number of runs that earlier owners left, and of their workers.
 func (t *term) restore(jobs, state []spar.Record, isFirst bool) (runs, workers int) {
 	now := time.Now()
+	submitted := t.decodeSubmissions(jobs)
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
 	if isFirst {
 		t.scheduler.BeginFirstTerm()
 	}
 	t.applyConfig()
-	t.applySubmissions(jobs, func(j spar.Job) { t.scheduler.SubmitEarlier(j, now, now) })
+	for _, j := range submitted {
+		t.scheduler.SubmitEarlier(j, now, now)
+	}
 	t.predecessors.waitUntil = now.Add(t.settings.maxEarlierLease())
 	for _, err := range t.scheduler.Restore(state, now, t.predecessors.waitUntil) {
 		t.Warn("could not restore stored progress", "err", err)
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -59,9 +60,13 @@
 	jobs                  *track.Follower
 	wake                  chan struct{}
 	ended                 chan struct{}
-	// stale and backlog are used by the loop alone.
-	stale   staleness
-	backlog backlogReport
+	// stale, backlog and planAfter, the time before which the loop does not plan, are used by
+	// the loop alone.
+	stale     staleness
+	backlog   backlogReport
+	planAfter time.Time
+	// longPassAt is when a long pass was last logged.
+	longPassAt time.Time
 
 	scheduler *shard.Scheduler
 	// stateMu guards scheduler, sessions, sessionCount and departures.
@@ -166,20 +171,31 @@
 	}
 }
 
+// submitBatch is how many jobs are applied to the shard at a time. Leases and answers wait
+// meanwhile.
+const submitBatch = 16
+
 // applyJobRecords applies records of the jobs topic to the shard.
 func (t *term) applyJobRecords(records []spar.Record) {
 	now := time.Now()
+	for batch := range slices.Chunk(t.decodeSubmissions(records), submitBatch) {
+		t.stateMu.Lock()
+		for _, j := range batch {
+			t.scheduler.Submit(j, now)
+		}
+		t.stateMu.Unlock()
+	}
 	t.stateMu.Lock()
-	t.applySubmissions(records, func(j spar.Job) { t.scheduler.Submit(j, now) })
 	t.applyCancels(records, now)
 	t.applyDepartures(records)
 	t.stateMu.Unlock()
 	t.wakeLoop()
 }
 
-// applySubmissions passes the jobs among the records to submit, but for those that a later
-// record drops.
-func (t *term) applySubmissions(records []spar.Record, submit func(spar.Job)) {
+// decodeSubmissions returns the jobs among the records, but for those that a later record
+// drops.
+func (t *term) decodeSubmissions(records []spar.Record) []spar.Job {
+	var out []spar.Job
 	last := map[string]int{}
 	for i, r := range records {
 		last[r.Key] = i
@@ -193,8 +209,9 @@
 			t.Warn("could not decode a submission", "key", r.Key, "err", err)
 			continue
 		}
-		submit(j)
+		out = append(out, j)
 	}
+	return out
 }
 
 func (t *term) applyCancels(records []spar.Record, now time.Time) {
--- a/shard/advice.go
+++ b/shard/advice.go
@@ -55,14 +55,20 @@
 // answered by a call of RecordAdvice.
 func (sc *Scheduler) AdviceRequests(now time.Time) []AdviceRequest {
 	var out []AdviceRequest
-	for _, s := range sc.stepsAwaitingAdvice {
-		if sc.adviceInFlight+len(out) >= maxRequestsInFlight {
-			break
-		}
+	var pool []*candidate
+	for looks := 0; len(sc.stepsAwaitingAdvice) > 0 && looks < maxLooks && sc.adviceInFlight+len(out) < maxRequestsInFlight; looks += 1 + len(pool) {
+		s := sc.stepsAwaitingAdvice[0]
+		sc.stepsAwaitingAdvice = sc.stepsAwaitingAdvice[1:]
 		if s.advice.requestInFlight || now.Before(s.advice.retryAfter) {
 			continue
 		}
-		if ids := sc.workersToAsk(s, now); len(ids) > 0 {
+		if pool == nil {
+			pool = sc.candidates(now)
+			slices.SortStableFunc(pool, func(a, b *candidate) int {
+				return sign(b.info.Size.CPUMilli - b.reserved.CPUMilli - a.info.Size.CPUMilli + a.reserved.CPUMilli)
+			})
+		}
+		if ids := sc.workersToAsk(s, pool, now); len(ids) > 0 {
 			s.advice.requestInFlight = true
 			out = append(out, AdviceRequest{Step: s.ref(), Workers: ids})
 		}
@@ -71,14 +77,10 @@
 	return out
 }
 
-// workersToAsk returns the workers for which a step has no valid ticket and may
-// get one, those with the most free CPU first.
-func (sc *Scheduler) workersToAsk(s *step, now time.Time) []string {
+// workersToAsk returns the workers of a pool for which a step has no valid ticket and may
+// get one, in the order of the pool, which is that of their free CPU.
+func (sc *Scheduler) workersToAsk(s *step, pool []*candidate, now time.Time) []string {
 	var ids []string
-	pool := sc.candidates(now)
-	slices.SortStableFunc(pool, func(a, b *candidate) int {
-		return sign(b.info.Size.CPUMilli - b.reserved.CPUMilli - a.info.Size.CPUMilli + a.reserved.CPUMilli)
-	})
 	for _, w := range pool {
 		p, known := s.advice.permits[w.info.Life.ID]
 		barred := known && p.ticket == ""
--- a/shard/copy.go
+++ b/shard/copy.go
@@ -58,6 +58,7 @@
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				ct := c.tasks[t]
+				// The job's count of runs was copied.
 				ct.runs = nil
 				for _, r := range t.runs {
 					ct.runs = append(ct.runs, c.run(r))
--- a/shard/expiry.go
+++ b/shard/expiry.go
@@ -41,7 +41,7 @@
 		sc.forgetSuspects(o)
 	}
 	crashesStored := j.crashesStored
-	j.occurrences, j.Steps, j.Spec, j.storage = nil, nil, "", newStorage(nil)
+	j.occurrences, j.Steps, j.dependents, j.Spec, j.storage = nil, nil, nil, "", newStorage(nil)
 	j.crashesStored = crashesStored
 	sc.addMemory(j, endedFootprint, endedFootprint)
 }
@@ -93,6 +93,4 @@
 	sc.retiredJobs = slices.DeleteFunc(sc.retiredJobs, func(j *job) bool { return sc.jobs[j.ID] != j })
 }
 
-func (sc *Scheduler) hasRuns(j *job) bool {
-	return slices.ContainsFunc(j.occurrences, (*occurrence).hasRuns)
-}
+func (sc *Scheduler) hasRuns(j *job) bool { return j.runs > 0 }
--- a/shard/explain.go
+++ b/shard/explain.go
@@ -72,11 +72,15 @@
 	out := Explanation{Job: j.ID, Queue: j.Queue, State: j.reportedState, Priority: j.policy.Priority, Age: now.Sub(j.firstSeen)}
 	out.countAhead(trial.queueSteps(now), j)
 	trial.Plan(now)
+	claimed := map[*run]bool{}
+	for _, r := range trial.claimedRuns {
+		claimed[r] = true
+	}
 	for _, o := range j.occurrences {
 		out.Path = o.criticalPath
 		out.Objective = j.policy.Objective(o.criticalPath)
 		for _, st := range o.steps {
-			out.Steps = append(out.Steps, trial.explainStep(st, now))
+			out.Steps = append(out.Steps, trial.explainStep(st, claimed, now))
 		}
 	}
 	return out, true
@@ -110,15 +114,16 @@
 	}
 }
 
-// explainStep tells what a pass of Plan that has just been made did with a step.
-func (sc *Scheduler) explainStep(s *step, now time.Time) StepPlacement {
+// explainStep tells what a pass of Plan that has just been made did with a step. claimed are
+// the runs that it has claimed.
+func (sc *Scheduler) explainStep(s *step, claimed map[*run]bool, now time.Time) StepPlacement {
 	out := StepPlacement{Occurrence: s.occurrence.number, Step: s.index, After: s.unfinishedDependencies()}
 	var first *task
 	for _, t := range s.tasks {
 		switch {
 		case t.done:
 			out.Done++
-		case len(t.runs) > 0 && !slices.ContainsFunc(t.runs, sc.isClaimed):
+		case len(t.runs) > 0 && !t.hasRun(func(r *run) bool { return claimed[r] }):
 			out.Running++
 		case len(t.runs) > 0:
 			out.Waiting++
@@ -137,9 +142,6 @@
 	return out
 }
 
-// isClaimed reports whether the last pass of Plan has claimed a run.
-func (sc *Scheduler) isClaimed(r *run) bool { return slices.Contains(sc.claimedRuns, r) }
-
 func (s *step) unfinishedDependencies() []int {
 	var out []int
 	for _, a := range s.After {
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -1,6 +1,10 @@
 package shard
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // placeGang places all tasks of a gang under one run number, or none. It
 // returns false only if there is no room for the whole gang.
@@ -17,8 +21,9 @@
 	}
 	checkpoint, before := s.tasks[0].checkpoint, len(sc.claimedRuns)
 	var claimed []placement
+	place := sc.gangPlacer(s, pool, now)
 	for _, t := range s.tasks {
-		p, ok := sc.bestPlacement(t, pool, now)
+		p, ok := place(t)
 		if !ok {
 			for _, p := range claimed {
 				p.release(sc, s)
@@ -34,6 +39,29 @@
 	return true
 }
 
+// maxScoredGang is the size of a gang up to which all workers are compared for each task. A
+// larger one fills the workers one after another, in a time that grows with its tasks alone.
+const maxScoredGang = 256
+
+// gangPlacer returns a function that finds a worker for one task of a gang after another.
+func (sc *Scheduler) gangPlacer(s *step, pool []*candidate, now time.Time) func(*task) (placement, bool) {
+	if len(s.tasks) <= maxScoredGang {
+		return func(t *task) (placement, bool) { return sc.bestPlacement(t, pool, now) }
+	}
+	rest := slices.Clone(pool)
+	slices.SortStableFunc(rest, func(a, b *candidate) int { return cmp.Compare(b.score(s.tasks[0]), a.score(s.tasks[0])) })
+	minPace := sc.minPace(s, now)
+	return func(t *task) (placement, bool) {
+		for len(rest) > 0 {
+			if p, ok := sc.bestOf(rest[:1], t, minPace, now); ok {
+				return p, true
+			}
+			rest = rest[1:]
+		}
+		return placement{}, false
+	}
+}
+
 // mayFit reports whether the workers have room for all tasks of a step. If not, there is no
 // need to claim runs of most of them to find that out, in each pass anew.
 func mayFit(s *step, pool []*candidate) bool {
--- a/shard/headroom.go
+++ b/shard/headroom.go
@@ -30,6 +30,10 @@
 	ahead [harmSamples]float64
 }
 
+// maxHeadrooms bounds the images whose headroom a candidate remembers, which are searched
+// for each fill.
+const maxHeadrooms = 64
+
 // headroom returns the headroom for fills of an image. Within a planning pass
 // it is computed once for each image and candidate, and again after a fill was
 // placed, since a pass tries many steps of few images on each candidate.
@@ -50,7 +54,9 @@
 		h.costs[i] = sc.interference.Cost(g.image, interf.FillUsage{Image: image, CPUFraction: 1})
 	}
 	h.update(w.groupLoads)
-	w.headrooms = append(w.headrooms, h)
+	if len(w.headrooms) < maxHeadrooms {
+		w.headrooms = append(w.headrooms, h)
+	}
 	return h
 }
 
--- a/shard/job.go
+++ b/shard/job.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/berylspar/spar"
@@ -34,6 +35,10 @@
 	occurrences []*occurrence
 	finished    numberSet
 	due, next   int
+	// dependents holds, by step, those that depend on it.
+	dependents [][]int32
+	// runs counts the runs of all tasks.
+	runs int
 	// unstarted counts the occurrences that are held and of which no task has started.
 	unstarted int
 	memory
@@ -84,8 +89,11 @@
 	occurrence *occurrence
 	index      int
 	tasks      []*task
-	// unfinished counts the tasks that are not done.
-	unfinished int
+	// unfinished counts the tasks that are not done, and blockers the steps that must be
+	// done first.
+	unfinished, blockers int
+	// stoppedRun is the number of the last run of a gang that was stopped as a whole.
+	stoppedRun int64
 	// advice is used in queues that require an adviser.
 	advice advice
 	// taskTime is the likely run time of a task; see stepTime.
@@ -164,6 +172,7 @@
 	out := &job{Job: j, policy: j.Policy, state: Queued, reportedState: Queued, firstSeen: now}
 	out.storage = newStorage(j.Steps)
 	out.footprint = footprintOf(&out.Job)
+	out.dependents = dependents(j.Steps)
 	return out
 }
 
@@ -179,7 +188,7 @@
 func (j *job) newOccurrence(number int, due time.Time) *occurrence {
 	o := &occurrence{job: j, number: number, due: due, unfinished: len(j.Steps)}
 	for i, s := range j.Steps {
-		st := &step{Step: s, job: j, occurrence: o, index: i, unfinished: s.Count}
+		st := &step{Step: s, job: j, occurrence: o, index: i, unfinished: s.Count, blockers: len(s.After)}
 		for k := range s.Count {
 			st.tasks = append(st.tasks, &task{step: st, index: k, idleSince: due})
 		}
@@ -205,11 +214,33 @@
 func (t *task) markDone() {
 	s := t.step
 	t.done = true
-	if s.unfinished--; s.unfinished == 0 {
-		s.occurrence.unfinished--
+	if s.unfinished--; s.unfinished > 0 {
+		return
+	}
+	s.occurrence.unfinished--
+	for _, d := range s.job.dependents[s.index] {
+		s.occurrence.steps[d].blockers--
 	}
 }
 
+// addRun adds a run to a task.
+func (t *task) addRun(r *run) {
+	t.runs = append(t.runs, r)
+	t.step.job.runs++
+	t.step.occurrence.markStarted()
+}
+
+// dropRun drops a run from its task, and reports whether the task had it.
+func (t *task) dropRun(r *run) bool {
+	i := slices.Index(t.runs, r)
+	if i < 0 {
+		return false
+	}
+	t.runs = append(t.runs[:i], t.runs[i+1:]...)
+	t.step.job.runs--
+	return true
+}
+
 // markStarted records that a run of the occurrence was claimed.
 func (o *occurrence) markStarted() {
 	if !o.started {
@@ -242,13 +273,18 @@
 func (j *job) hasEnded() bool { return j.state.isFinal() }
 
 // isReady reports whether all steps that this one depends on are done.
-func (s *step) isReady() bool {
-	for _, a := range s.After {
-		if s.occurrence.steps[a].unfinished > 0 {
-			return false
+func (s *step) isReady() bool { return s.blockers == 0 }
+
+// dependents returns, by step, the steps that depend on it. One that names it twice is in
+// its list twice.
+func dependents(steps []spar.Step) [][]int32 {
+	out := make([][]int32, len(steps))
+	for i, s := range steps {
+		for _, a := range s.After {
+			out[a] = append(out[a], int32(i))
 		}
 	}
-	return true
+	return out
 }
 
 // remainingWork estimates the CPU time left in the step, as time on one
--- a/shard/load.go
+++ b/shard/load.go
@@ -45,11 +45,12 @@
 			l.fillingDrain += filling
 		}
 	}
+	var last occurrenceWork
 	for j := range sc.activeJobs {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.unfinished > 0 && !s.Standing {
-					of(j.policy.Service).add(s, now)
+					of(j.policy.Service).add(s, last.left(o), now)
 				}
 			}
 		}
@@ -84,7 +85,8 @@
 }
 
 // add adds the tasks of a step that have no run, also those that wait for earlier steps.
-func (l *serviceLoad) add(s *step, now time.Time) {
+// workLeft is that of the step's occurrence.
+func (l *serviceLoad) add(s *step, workLeft time.Duration, now time.Time) {
 	tasks := 0
 	for _, t := range s.tasks {
 		if !t.done && len(t.runs) == 0 {
@@ -108,7 +110,7 @@
 		w.Late += work
 	} else {
 		w.Work += work
-		w.Sizes[admit.SizeOf(s.occurrenceWorkLeft())] += work
+		w.Sizes[admit.SizeOf(workLeft)] += work
 	}
 	w.Tasks += tasks
 	w.Oldest = max(w.Oldest, now.Sub(s.occurrence.due))
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -21,6 +21,8 @@
 	// headroom.
 	groupLoads []groupLoad
 	headrooms  []*fillHeadroom
+	// trials are the tasks on trial on the worker, or nil until onTrial needs them.
+	trials []*task
 	// span is the time ahead for which the slack of serving groups is considered;
 	// 0 stands for fillHorizon.
 	span time.Duration
@@ -72,13 +74,25 @@
 // accepts the task.
 func (sc *Scheduler) bestPlacement(t *task, pool []*candidate, now time.Time) (placement, bool) {
 	var best placement
-	var bestScore float64
 	minPace := sc.minPace(t.step, now)
 	requirement := t.step.requirement(minPace)
 	requirement.overdue = t.isOverdue(now)
 	if sc.hasShortage(requirement) {
 		return best, false
 	}
+	best, ok := sc.bestOf(pool, t, minPace, now)
+	if !ok {
+		sc.recordShortage(t.step, requirement)
+	}
+	return best, ok
+}
+
+// bestOf returns the candidate with the highest score for a task of those given, if any
+// accepts the task.
+func (sc *Scheduler) bestOf(pool []*candidate, t *task, minPace int, now time.Time) (placement, bool) {
+	var best placement
+	var bestScore float64
+	sc.looks.used += len(pool)
 	for _, w := range pool {
 		if !sc.canAccept(w, t, now) {
 			continue
@@ -97,16 +111,13 @@
 			best, bestScore = placement{w, pace}, score
 		}
 	}
-	if best.candidate == nil {
-		sc.recordShortage(t.step, requirement)
-	}
 	return best, best.candidate != nil
 }
 
 // canAccept reports whether a worker may take a task beside those that run there and is
 // not kept free.
 func (sc *Scheduler) canAccept(w *candidate, t *task, now time.Time) bool {
-	return (!w.isLastResort || t.isOverdue(now)) && sc.canRun(w, t, now) && (len(sc.suspects) == 0 || !w.hasTrialBeside(t, now))
+	return (!w.isLastResort || t.isOverdue(now)) && sc.canRun(w, t, now) && (len(sc.suspects) == 0 || !w.onTrialBeside(t, now))
 }
 
 // canRun reports whether a worker meets the requirements of a task and has room
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -9,7 +9,7 @@
 )
 
 // Plan places tasks that are ready to run and claims their runs. The claims
-// take effect once they are stored.
+// take effect once they are stored. A pass over very many steps is cut short; see IsPassCut.
 func (sc *Scheduler) Plan(now time.Time) {
 	queue := sc.queueSteps(now)
 	pool := sc.candidates(now)
@@ -19,9 +19,9 @@
 	sc.trials = sc.freeTrialSlots(now)
 	sc.startLimit = sc.countStarts(now)
 	short := map[triage.Pool]triage.Prospect{}
-	for _, q := range queue {
+	sc.planInTurn(queue, func(q queuedStep) {
 		if sc.placeStep(q.step, pool, now) {
-			continue
+			return
 		}
 		if q.job.policy.Advised {
 			sc.stepsAwaitingAdvice = append(sc.stepsAwaitingAdvice, q.step)
@@ -31,7 +31,7 @@
 				short[q.pool()] = q.occurrence.prospect
 			}
 		}
-	}
+	})
 	if sc.limits.Order.LearnsRunTimes() {
 		sc.observeRoom(short, now)
 	}
@@ -44,8 +44,9 @@
 		return sc.rankSteps(now)
 	}
 	var queue []queuedStep
+	var last occurrenceWork
 	for s := range sc.readySteps() {
-		queue = append(queue, queuedStep{step: s, late: s.isLate(now), workLeft: s.occurrenceWorkLeft()})
+		queue = append(queue, queuedStep{step: s, late: s.isLate(now), workLeft: last.left(s.occurrence)})
 	}
 	slices.SortFunc(queue, compareSteps)
 	return queue
@@ -102,13 +103,23 @@
 	return a.index - b.index
 }
 
-// occurrenceWorkLeft estimates the CPU time left in the step's occurrence.
-func (s *step) occurrenceWorkLeft() time.Duration {
-	var sum time.Duration
-	for _, other := range s.occurrence.steps {
-		sum += other.remainingWork()
+// occurrenceWork is the work left of the occurrence that it was last asked for. Its steps
+// follow one another, so that each is summed up once. The zero value has none.
+type occurrenceWork struct {
+	occurrence *occurrence
+	work       time.Duration
+}
+
+// left estimates the CPU time left in an occurrence.
+func (w *occurrenceWork) left(o *occurrence) time.Duration {
+	if w.occurrence == o {
+		return w.work
+	}
+	w.occurrence, w.work = o, 0
+	for _, s := range o.steps {
+		w.work += s.remainingWork()
 	}
-	return sum
+	return w.work
 }
 
 // isLate reports whether the step's occurrence has passed its objective.
@@ -163,7 +174,7 @@
 		if !t.isWaiting(now) || t.isSuspect() || onlyOverdue && !t.isOverdue(now) {
 			continue
 		}
-		if sc.startLimit.full() {
+		if sc.startLimit.full() || sc.looks.isUsed() {
 			return false
 		}
 		p, ok := sc.bestPlacement(t, pool, now)
@@ -184,9 +195,9 @@
 func (sc *Scheduler) claimRun(t *task, p placement, number int64, now time.Time) {
 	r := &run{task: t, worker: p.worker, number: number, token: p.token, pace: p.pace, started: now, resumed: t.checkpoint != ""}
 	t.lastRun = number
-	t.runs = append(t.runs, r)
-	t.step.occurrence.markStarted()
+	t.addRun(r)
 	p.addRun(r)
+	p.noteTrial(r, now)
 	p.allocate(sc, t.step)
 	sc.claimedRuns = append(sc.claimedRuns, r)
 	sc.startLimit.add(r)
--- a/shard/rank.go
+++ b/shard/rank.go
@@ -14,10 +14,11 @@
 	var queue []queuedStep
 	var ranked []*occurrence
 	var jobs []triage.Job
+	var last occurrenceWork
 	for s := range sc.readySteps() {
 		q := queuedStep{step: s}
 		if s.Standing {
-			q.workLeft = s.occurrenceWorkLeft()
+			q.workLeft = last.left(s.occurrence)
 		} else if o := s.occurrence; len(ranked) == 0 || ranked[len(ranked)-1] != o {
 			// readySteps iterates over one occurrence after the other.
 			sc.updateForecast(o, now)
--- a/shard/report.go
+++ b/shard/report.go
@@ -79,8 +79,8 @@
 	}
 	r := &run{task: t, worker: w, number: row.Run, ordered: true, token: w.token, pace: 100, started: now}
 	keep := !j.hasEnded() && !t.done && len(t.runs) == 0 && row.Run == t.lastRun
-	t.runs = append(t.runs, r)
-	t.step.occurrence.markStarted()
+	t.addRun(r)
+	t.step.stoppedRun = 0
 	w.addRun(r)
 	sc.markTaskChanged(t)
 	sc.confirmRun(r, now)
--- a/shard/restore.go
+++ b/shard/restore.go
@@ -185,10 +185,11 @@
 	t.lastRun, t.idleSince = max(t.lastRun, p.Last), sc.now
 	t.step.occurrence.markStarted()
 	if t.done {
-		for _, r := range t.runs {
+		for len(t.runs) > 0 {
+			r := t.runs[0]
 			r.worker.removeRun(r)
+			t.dropRun(r)
 		}
-		t.runs = nil
 		return
 	}
 	for _, rp := range p.Runs {
@@ -217,7 +218,7 @@
 	}
 	w.info.Life.Born = max(w.info.Life.Born, life.Born)
 	r := &run{task: t, worker: w, number: p.Number, ordered: true, pace: 100, started: expires}
-	t.runs = append(t.runs, r)
+	t.addRun(r)
 	w.addRun(r)
 }
 
--- a/shard/run_end.go
+++ b/shard/run_end.go
@@ -55,7 +55,7 @@
 		}
 	}
 	if t.step.Gang && e.Ending != spar.EndDone && !superseded {
-		sc.stopGang(t.step)
+		sc.stopGang(t.step, e.Run)
 	}
 }
 
@@ -141,8 +141,13 @@
 	sc.endJob(j, Failed, now)
 }
 
-// stopGang stops the remaining runs of a gang after one of them has ended.
-func (sc *Scheduler) stopGang(s *step) {
+// stopGang stops the remaining runs of a gang after one with a number has ended. The ends
+// of those follow, and find that all have been stopped.
+func (sc *Scheduler) stopGang(s *step, number int64) {
+	if number <= s.stoppedRun {
+		return
+	}
+	s.stoppedRun = number
 	for _, t := range s.tasks {
 		for _, r := range t.runs {
 			sc.stopRun(r)
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -68,6 +68,11 @@
 	lacking      int
 	// startLimit counts the starts of the pass of Plan.
 	startLimit startLimit
+	// looks counts those of the pass, passCut reports whether it has left steps to the
+	// next one, and resumeAt is the index in the queue of the first of them.
+	looks    lookBudget
+	passCut  bool
+	resumeAt int
 	// claimedRuns are runs whose start orders are sent once the claims are
 	// stored.
 	claimedRuns  []*run
@@ -252,12 +257,9 @@
 		cpuFraction := float64(r.measured) / float64(r.worker.info.Size.CPUMilli)
 		r.worker.recentFills = append(r.worker.recentFills, endedFill{usage: interf.FillUsage{Image: s.Image, CPUFraction: cpuFraction}, endedAt: sc.now})
 	}
-	for i, o := range r.task.runs {
-		if o == r {
-			r.task.runs = append(r.task.runs[:i], r.task.runs[i+1:]...)
-			sc.markTaskChanged(r.task)
-			return
-		}
+	if r.task.dropRun(r) {
+		sc.markTaskChanged(r.task)
+		return
 	}
 	panic(errors.AssertionFailedf("run %d of task %s is on worker %s but not among the runs of its task", r.number, r.task.ref(), r.worker.node))
 }
--- a/shard/shortage.go
+++ b/shard/shortage.go
@@ -43,10 +43,14 @@
 	return false
 }
 
+// maxShortages bounds the requirements that are remembered, each of which is compared
+// with those of all later steps.
+const maxShortages = 64
+
 // recordShortage remembers that no worker had room for a task of a step. Steps
 // whose own limits may have excluded workers with room are left out.
 func (sc *Scheduler) recordShortage(s *step, r shortage) {
-	if s.MaxPerWorker == 0 && !s.job.policy.Advised {
+	if s.MaxPerWorker == 0 && !s.job.policy.Advised && len(sc.shortages) < maxShortages {
 		sc.shortages = append(sc.shortages, r)
 	}
 }
--- a/shard/trial.go
+++ b/shard/trial.go
@@ -56,6 +56,29 @@
 	return false
 }
 
+// onTrialBeside is hasTrialBeside within a pass of Plan, which asks for many tasks.
+func (w *candidate) onTrialBeside(t *task, now time.Time) bool {
+	if w.trials == nil {
+		w.trials = []*task{}
+		for r := range w.runs {
+			w.noteTrial(r, now)
+		}
+	}
+	for _, o := range w.trials {
+		if o != t.historyTask() {
+			return true
+		}
+	}
+	return false
+}
+
+// noteTrial adds a run to the trials of the candidate, if those are known.
+func (w *candidate) noteTrial(r *run, now time.Time) {
+	if h := r.task.historyTask(); w.trials != nil && r.isOnTrial(now) && !slices.Contains(w.trials, h) {
+		w.trials = append(w.trials, h)
+	}
+}
+
 // isQuiet reports whether no run on the worker has just been started, so that a
 // crash would be due to the next one.
 func (w *worker) isQuiet(now time.Time) bool {
