Settle a silent owner's leases by its witnesses

The machines of the owner and of a worker are lost at once; the worker's lasting task has no run for 12.6 s, with five empty workers.

Cause: only the earlier owner's word shortened the wait of a new one. Without it that waits 11.25 s: the earlier owner could still be granting leases in its grace period.

Change: past its term an owner grants leases only while half of its witnesses, other entries that its record names, confirm it. A new owner asks the witnesses of one that does not answer; more than half of the answers bound its last grant.

Why it works: of the witnesses that an owner needs and those that the next one has heard, one is the same, and it confirms no older owner after its answer.

--- a/entry/batch/daemon.go
+++ b/entry/batch/daemon.go
@@ -82,8 +82,10 @@
 			return track.NewDirectory(st, directoryReadWait, func(err error) { c.Warn("could not read the addresses of the owner and the entries", "err", err) })
 		},
 		func(c *platform.Client) spar.Adviser { return newAdviser(c, s.Adviser) },
-		func(c common.Common, st spar.Store, ad spar.Adviser, w *config.Watcher, l *listeners) *owner.Candidate {
-			return owner.NewCandidate(c, s.owner(), st, ad, w, newMemberName(s.Name), link.EntryRecord{AgentAddress: cmp.Or(s.ReachAgents, s.Agents), PeerAddress: s.Admin}, c.Guard.Listen(l.agents, guard.Agents), clock.Now, owner.NewHTTPPeers())
+		func(c common.Common, st spar.Store, ad spar.Adviser, w *config.Watcher, l *listeners, d *track.Directory) *owner.Candidate {
+			o := owner.NewCandidate(c, s.owner(), st, ad, w, newMemberName(s.Name), link.EntryRecord{AgentAddress: cmp.Or(s.ReachAgents, s.Agents), PeerAddress: s.Admin}, c.Guard.Listen(l.agents, guard.Agents), clock.Now, owner.NewHTTPPeers())
+			o.Follow(d)
+			return o
 		},
 		owner.NewClient,
 		func(c *owner.Client) jobapi.Jobs { return c },
--- a/entry/owner/candidate.go
+++ b/entry/owner/candidate.go
@@ -58,6 +58,8 @@
 
 	peers                     Peers
 	grants                    grants
+	witness                   witness
+	directory                 *track.Directory
 	writeLatency, joinLatency hedge.Latency
 	// published reports whether this entry's address is stored for the others.
 	published bool
@@ -82,7 +84,7 @@
 func NewCandidate(c common.Common, s Settings, st spar.Store, ad spar.Adviser, w *config.Watcher, member string, self link.EntryRecord, agents net.Listener, clock func() time.Duration, p Peers) *Candidate {
 	store := intake.NewStore(c, st)
 	self.JobMemory = s.jobMemory()
-	return &Candidate{begunAt: time.Now(), peers: p, grants: grants{last: clock()}, Common: c, settings: s, store: store, jobs: intake.NewWriter(store, JobsTopic), adviser: ad, config: w, member: member, self: self, agentListener: agents, clock: clock}
+	return &Candidate{begunAt: time.Now(), peers: p, grants: grants{last: clock()}, witness: witness{last: clock()}, Common: c, settings: s, store: store, jobs: intake.NewWriter(store, JobsTopic), adviser: ad, config: w, member: member, self: self, agentListener: agents, clock: clock}
 }
 
 // Run takes part in the election until the context ends. It then leaves the
--- a/entry/owner/client.go
+++ b/entry/owner/client.go
@@ -184,6 +184,7 @@
 	r.POST("/records", c.storeForPeer)
 	c.addAdmissionRoutes(r)
 	r.POST(roomPath, c.answerRoom)
+	c.addWitnessRoutes(r)
 	r.POST(explainPath, c.answerExplanation)
 	r.POST(grantsPath, c.answerGrants)
 	r.GET(departuresPath, c.answerDepartures)
--- a/entry/owner/predecessors.go
+++ b/entry/owner/predecessors.go
@@ -41,6 +41,9 @@
 	predecessor link.Predecessor
 	answer      grantsAnswer
 	receivedAt  time.Time
+	// grantedUntil is when the last lease was granted, at the latest, if its witnesses have
+	// answered.
+	grantedUntil time.Time
 }
 
 // findPredecessors returns the earlier owners whose grants are not settled, from the
@@ -64,7 +67,7 @@
 	if !r.ListsPredecessors {
 		return unknown
 	}
-	out := []link.Predecessor{{Epoch: r.Epoch, PeerAddress: r.PeerAddress}}
+	out := []link.Predecessor{{Epoch: r.Epoch, PeerAddress: r.PeerAddress, Witnesses: r.Witnesses}}
 	for _, p := range r.Predecessors {
 		if !slices.ContainsFunc(out, func(q link.Predecessor) bool { return q.PeerAddress == p.PeerAddress }) {
 			out = append(out, p)
@@ -98,12 +101,14 @@
 func (t *term) ownerRecord() []spar.Record {
 	r := t.self
 	r.Epoch, r.ListsPredecessors, r.Predecessors = t.epoch, true, t.predecessors.unsettled
+	r.Witnesses = t.witnesses.beginWriting()
 	return []spar.Record{{Key: link.OwnerKey, Value: r.Encode()}}
 }
 
 // settlePredecessors asks the earlier owners about their grants until each has answered
-// or all leases have expired anyway. The channel receives nil, also when the context
-// ends, or why the owner record could not be written.
+// or all leases have expired anyway, and writes the owner record when they or the witnesses
+// have changed. The channel receives nil when the context ends, or why the owner record
+// could not be written.
 func (t *term) settlePredecessors(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() { done <- t.collectAnswers(ctx) }()
@@ -122,19 +127,25 @@
 	}
 	var written <-chan error
 	var failure error
-	pending, changed := len(p.unsettled), false
-	for pending > 0 || written != nil {
+	pending, changed, ended := len(p.unsettled), false, ctx.Done()
+	for ctx.Err() == nil || pending > 0 || written != nil {
 		select {
+		case <-ended:
+			ended = nil
 		case a := <-answers:
 			pending--
 			if ctx.Err() == nil {
 				changed = true
 				t.applySettlement(a, readyAt)
 			}
+		case <-t.witnessesChanged:
+			changed = true
 		case failure = <-written:
-			written = nil
+			if written = nil; failure == nil {
+				t.witnesses.endWriting()
+			}
 		}
-		if changed && written == nil && failure == nil {
+		if changed && written == nil && failure == nil && ctx.Err() == nil {
 			changed, written = false, t.rewriteRecord(ctx)
 		}
 	}
@@ -146,12 +157,16 @@
 	if p.PeerAddress == "" {
 		<-ctx.Done()
 	}
+	confirmed := map[string]time.Time{}
 	for tries := 1; ctx.Err() == nil; tries++ {
 		begun := time.Now()
 		a, err := t.askGrants(p)
 		if err == nil {
 			return settlement{predecessor: p, answer: a, receivedAt: time.Now()}
 		}
+		if until, ok := t.askWitnesses(p, confirmed); ok {
+			return settlement{predecessor: p, grantedUntil: until}
+		}
 		if tries == 1 {
 			t.Warn("earlier owner does not answer about its grants; asking again", "epoch", t.epoch, "owner", p.Epoch, "address", p.PeerAddress, "err", err)
 		}
@@ -160,11 +175,54 @@
 	return settlement{predecessor: p}
 }
 
+// askWitnesses asks the witnesses of an earlier owner that have not answered yet; confirmed
+// holds when the others have last confirmed it. It returns until when the owner can have
+// granted leases, and whether enough of them have answered. Until its term was over the owner
+// needed no witness: the store may have elected this one before that.
+func (t *term) askWitnesses(p link.Predecessor, confirmed map[string]time.Time) (time.Time, bool) {
+	type answer struct {
+		address string
+		at      time.Time
+		err     error
+	}
+	answers := make(chan answer, len(p.Witnesses))
+	asked := 0
+	for _, a := range p.Witnesses {
+		if _, ok := confirmed[a]; !ok {
+			asked++
+			go func() {
+				at, err := t.askWitness(a)
+				answers <- answer{a, at, err}
+			}()
+		}
+	}
+	for range asked {
+		if a := <-answers; a.err == nil {
+			confirmed[a.address] = a.at
+		}
+	}
+	until := t.begunAt.Add(t.settings.ttl())
+	for _, at := range confirmed {
+		if end := at.Add(confirmTime); end.After(until) {
+			until = end
+		}
+	}
+	return until, len(p.Witnesses) > 0 && len(confirmed) >= fenceQuorum(len(p.Witnesses))
+}
+
 // applySettlement takes an earlier owner off the list. The next owner may ask this
 // process alone, so its answer must not be older than the one applied here.
 func (t *term) applySettlement(s settlement, readyAt time.Time) {
 	p, q := &t.predecessors, s.predecessor
-	p.unsettled = slices.DeleteFunc(p.unsettled, func(r link.Predecessor) bool { return r == q })
+	p.unsettled = slices.DeleteFunc(p.unsettled, q.IsSame)
+	if !s.grantedUntil.IsZero() {
+		t.grants.raise(t.clock() + time.Until(s.grantedUntil))
+		p.addGrant(s.grantedUntil)
+		until := t.shortenWait(readyAt)
+		t.Info("grants of an earlier owner settled", "epoch", t.epoch, "owner", q.Epoch, "address", q.PeerAddress, "how", "witnesses", "left", len(p.unsettled), "wait", time.Until(until))
+		t.Counter("grants_settled_by_witnesses").Inc(1)
+		return
+	}
 	if s.answer.LastGrantAgeMS == nil {
 		t.Info("leases of an earlier owner have expired", "epoch", t.epoch, "owner", q.Epoch, "address", q.PeerAddress, "left", len(p.unsettled))
 		t.Counter("grants_not_settled").Inc(1)
--- a/entry/owner/predecessors_test.go
+++ b/entry/owner/predecessors_test.go
@@ -79,7 +79,8 @@
 
 func expectPredecessors(t *testing.T, s *store.Store, want ...link.Predecessor) {
 	t.Helper()
-	if got := storedPredecessors(t, s); !slices.Equal(got, want) {
+	same := func(a, b link.Predecessor) bool { return a.IsSame(b) && slices.Equal(a.Witnesses, b.Witnesses) }
+	if got := storedPredecessors(t, s); !slices.EqualFunc(got, want, same) {
 		t.Fatalf("stored predecessors %v, want %v", got, want)
 	}
 }
--- a/entry/owner/takeover.go
+++ b/entry/owner/takeover.go
@@ -32,6 +32,7 @@
 	if !t.appendFenced(ctx, link.OwnerTopic, t.predecessors.recordSeq, t.ownerRecord()) {
 		return false
 	}
+	t.witnesses.endWriting()
 	t.readyAt.Store(time.Now().UnixNano())
 	t.restored.Store(true)
 	t.Info("state taken over", "epoch", t.epoch, "jobs", len(jobs.Records), "progress", len(state.Records), "bytes", recordsSize(jobs.Records)+recordsSize(state.Records), "took", time.Since(begun),
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -88,10 +88,16 @@
 	// predecessors is used by the goroutine of takeOver, and later by that of
 	// settlePredecessors.
 	predecessors predecessors
+	// begunAt is when the term began, which is no earlier than the store elected it.
+	begunAt time.Time
+	// witnesses confirm the owner after its term. witnessesChanged tells that the owner
+	// record is to be written with others.
+	witnesses        witnesses
+	witnessesChanged chan struct{}
 }
 
 func newTerm(c *Candidate, epoch int64, until time.Duration) *term {
-	t := &term{Candidate: c, epoch: epoch, wake: make(chan struct{}, 1), ended: make(chan struct{}), sessions: map[string]*session{}}
+	t := &term{Candidate: c, epoch: epoch, begunAt: time.Now(), witnessesChanged: make(chan struct{}, 1), wake: make(chan struct{}, 1), ended: make(chan struct{}), sessions: map[string]*session{}}
 	t.scheduler = shard.NewScheduler(shard.Limits{Lease: c.settings.lease(), MaxLease: c.settings.maxLease(), Retention: c.settings.keep(), RecordBytes: c.settings.valueBytes(), HoldBytes: c.settings.jobMemory(), Order: c.settings.Order, FillHarm: c.settings.FillHarm}, t.logEvent)
 	t.jobs = &track.Follower{
 		Store: c.store, Topic: JobsTopic, Wait: jobsReadWait, OnSnapshot: t.applyJobRecords, OnRecords: t.applyJobRecords,
@@ -120,9 +126,13 @@
 func (t *term) isValid() bool { return !t.failed.Load() && t.clock() < t.expiresAt() }
 
 // mayGrant reports whether leases may be granted, which is the case for a grace
-// period beyond the term's expiry.
+// period beyond the term's expiry while witnesses confirm the owner.
 func (t *term) mayGrant() bool {
-	return !t.failed.Load() && t.ctx.Err() == nil && t.clock() < t.expiresAt()+t.settings.grace()
+	if t.failed.Load() || t.ctx.Err() != nil {
+		return false
+	}
+	now := t.clock()
+	return now < t.expiresAt() || now < t.expiresAt()+t.settings.grace() && t.witnesses.mayGrant(now)
 }
 
 func (t *term) hasFailed() bool { return t.failed.Load() }
@@ -155,6 +165,7 @@
 		return
 	}
 	following, dropping, settling, collecting := t.jobs.Run(ctx), t.dropExpired(ctx), t.settlePredecessors(ctx), t.collectDepartures(ctx, t.entries)
+	witnessing := t.followWitnesses(ctx)
 	t.loop(ctx)
 	t.clearBacklog()
 	if err := <-following; err != nil {
@@ -166,6 +177,9 @@
 	if err := <-settling; err != nil {
 		t.Warn("list of earlier owners is no longer stored", "epoch", t.epoch, "err", err)
 	}
+	if err := <-witnessing; err != nil {
+		t.Warn("following the witnesses failed", "err", err)
+	}
 	if err := <-collecting; err != nil {
 		t.Warn("collecting departures failed", "err", err)
 	}
--- a/link/record.go
+++ b/link/record.go
@@ -29,6 +29,8 @@
 	// is of a build that does not list them.
 	Predecessors      []Predecessor `msgpack:"q,omitempty"`
 	ListsPredecessors bool          `msgpack:"l,omitempty"`
+	// Witnesses are the entries that the owner needs to grant leases after its term.
+	Witnesses []string `msgpack:"w,omitempty"`
 	// JobMemory is the memory in bytes that the entry has for jobs as the owner, or 0 if
 	// that is not known.
 	JobMemory int64 `msgpack:"m,omitempty"`
--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -206,6 +206,7 @@
 	e.owner.AddRoutes(routes)
 	s.net.setPeer(e.name, routes.Handler)
 	directory := track.NewDirectory(e.storeClient, time.Second, func(error) {})
+	e.owner.Follow(directory)
 	e.asker = owner.NewClient(c, e.owner, directory)
 	e.cancel, e.ends = cancel, []<-chan error{watch.Run(ctx), e.owner.Run(ctx), directory.Run(ctx)}
 }
