Keep a task whose start had no answer with its worker

A worker leaves a start call without an answer, answers again, crashes and starts again under its name; there the call is carried out beside the task's next run elsewhere, 0.32 s (TWICE).

Cause: such a run was held only on a worker that drains. On any other it was dropped when the leases were over or the worker had listed its runs, and the task was free to start on any worker. The case's log shows the former, its claim the latter; both are covered.

Change: the task starts on its worker alone until the platform carries the call out no more (12 s) or another life has listed its runs.

Why it works: a crash that makes the call effective ends the next run as well, and none starts before the next life was listed.

--- a/shard/job.go
+++ b/shard/job.go
@@ -118,6 +118,8 @@
 	// notBefore is the earliest time of the next start. It delays a task after
 	// a refusal.
 	notBefore time.Time
+	// stray, if not nil, keeps the task with a worker; see staysWith.
+	stray *strayStart
 	// idleSince is since when the task has had no confirmed run: the end of the last one,
 	// or the arrival of its job or of this owner.
 	idleSince time.Time
--- a/shard/life.go
+++ b/shard/life.go
@@ -86,6 +86,7 @@
 			continue
 		}
 		sc.onEvent(Event{Name: "run lost", Task: r.task.ref().String(), Run: r.number, Node: w.node, Reason: cmp.Or(r.crash, reason)})
+		sc.keepWithWorker(r, sc.now)
 		sc.removeRun(r)
 	}
 	w.lifeEnded = true
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/berylspar/spar/triage"
@@ -160,7 +161,7 @@
 	if s.Gang {
 		return sc.placeGang(s, pool, now)
 	}
-	suspectsPlaced, onlyOverdue := true, false
+	allPlaced, suspectsPlaced, onlyOverdue := true, true, false
 	if len(sc.suspects) > 0 {
 		suspectsPlaced = sc.placeSuspects(s, pool, now)
 		if s.hasLikelyCause() {
@@ -177,6 +178,14 @@
 		if sc.startLimit.full() || sc.looks.isUsed() {
 			return false
 		}
+		if node := sc.staysWith(t, now); node != "" {
+			if p, ok := sc.bestOf(poolOf(pool, node), t, sc.minPace(s, now), now); ok {
+				sc.claimRun(t, p, t.lastRun+1, now)
+			} else {
+				allPlaced = false
+			}
+			continue
+		}
 		p, ok := sc.bestPlacement(t, pool, now)
 		if !ok && s.Standing && !t.isOverdue(now) {
 			// A task that is overdue may still find one.
@@ -188,7 +197,16 @@
 		}
 		sc.claimRun(t, p, t.lastRun+1, now)
 	}
-	return suspectsPlaced && !onlyOverdue
+	return allPlaced && suspectsPlaced && !onlyOverdue
+}
+
+// poolOf returns the candidate of a node, if it is in the pool, which is ordered by node.
+func poolOf(pool []*candidate, node string) []*candidate {
+	i, found := slices.BinarySearchFunc(pool, node, func(w *candidate, node string) int { return strings.Compare(w.node, node) })
+	if !found {
+		return nil
+	}
+	return pool[i : i+1]
 }
 
 // claimRun assigns a new run of a task to a worker.
--- a/shard/stray_test.go
+++ b/shard/stray_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -122,3 +123,93 @@
 		h.scheduler.Tick(h.now, h.now)
 	}
 }
+
+// A worker leaves a start call without an answer, lists its runs without it, and crashes. In
+// its next life the call may be carried out. Until that life is listed, or the call is carried
+// out no more, the task must not run on another worker; on the same one it may start at once.
+func TestUnansweredStartKeepsItsTaskWithTheWorker(t *testing.T) {
+	next := spar.Life{ID: "i-n1", Born: 9000}
+	relist := func(h *harness) {
+		h.token++
+		h.tokens["n1"] = h.token
+		h.scheduler.Connect("n1", info(spar.Life{ID: "i-n1", Born: 1}), h.token, nil, h.now)
+		h.report("n1", &link.AgentMessage{Complete: true, Heartbeat: 1})
+		h.scheduler.GrantLease("n1", h.token, h.now)
+	}
+	crash := func(h *harness) { h.scheduler.Disconnect("n1", h.tokens["n1"]) }
+	for name, tt := range map[string]struct {
+		settle func(h *harness, o spar.StartOrder)
+		after  func(h *harness)
+		// nodes are those on which the task starts then.
+		nodes []string
+	}{
+		"listed": {func(h *harness, _ spar.StartOrder) { relist(h) }, func(*harness) {}, []string{"n1"}},
+		"stopped": {func(h *harness, o spar.StartOrder) {
+			h.report("n1", &link.AgentMessage{Outcomes: []link.StartOutcome{{Task: o.Task, Run: o.Run, Result: spar.StartNever}}})
+		}, func(*harness) {}, []string{"n1"}},
+		"leases over, listed": {func(h *harness, _ spar.StartOrder) {
+			h.advance(6 * time.Second)
+			h.scheduler.GrantLease("n2", h.tokens["n2"], h.now)
+			h.scheduler.Tick(h.now, h.now)
+			h.scheduler.Plan(h.now)
+			relist(h)
+		}, func(*harness) {}, []string{"n1"}},
+		"leases over": {func(*harness, spar.StartOrder) {}, func(h *harness) { h.pass(7 * time.Second) }, nil},
+		"crashed":     {func(h *harness, _ spar.StartOrder) { relist(h) }, crash, nil},
+		"crashed, leases over": {func(h *harness, _ spar.StartOrder) { relist(h) }, func(h *harness) {
+			crash(h)
+			h.pass(8 * time.Second)
+		}, nil},
+		"crashed, call over": {func(h *harness, _ spar.StartOrder) { relist(h) }, func(h *harness) {
+			crash(h)
+			h.pass(lateCallTime)
+		}, []string{"n2"}},
+		"next life listed": {func(h *harness, _ spar.StartOrder) { relist(h) }, func(h *harness) {
+			crash(h)
+			h.connectLife("n1", next)
+			drained := info(next)
+			drained.Draining = true
+			h.scheduler.UpdateWorker("n1", h.tokens["n1"], drained)
+		}, []string{"n2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.connect("n1")
+			o := h.submitAndStart("j1", "checks", shortStep(1))
+			h.connect("n2")
+			h.advance(6 * time.Second)
+			h.scheduler.GrantLease("n1", h.tokens["n1"], h.now)
+			h.scheduler.GrantLease("n2", h.tokens["n2"], h.now)
+			tt.settle(h, o)
+			tt.after(h)
+			h.pass(50 * time.Millisecond)
+			var nodes []string
+			for node, m := range h.runCycle() {
+				if len(m.Starts) > 0 {
+					nodes = append(nodes, node)
+				}
+			}
+			if !slices.Equal(nodes, tt.nodes) {
+				t.Errorf("started on %v, want %v", nodes, tt.nodes)
+			}
+		})
+	}
+}
+
+// One task of a step must stay with its worker, which has no room for it. The others of the
+// step, and those of other steps, must not wait for that.
+func TestTaskThatStaysWithItsWorkerHoldsUpNoOther(t *testing.T) {
+	h := newHarness(t)
+	h.connect("n1")
+	o := h.submitAndStart("j1", "checks", spar.Step{Count: 1, Size: spar.Size{CPUMilli: 9000}, Estimate: time.Second})
+	h.report("n1", &link.AgentMessage{Outcomes: []link.StartOutcome{{Task: o.Task, Run: o.Run, Result: spar.StartNever}}})
+	small := info(spar.Life{ID: "i-n1", Born: 1})
+	small.Size.CPUMilli = 4000
+	h.scheduler.UpdateWorker("n1", h.tokens["n1"], small)
+	h.connect("n2")
+	h.submit("j2", "checks", spar.Step{Count: 1, Size: spar.Size{CPUMilli: 9500}, Estimate: time.Second})
+	h.pass(50 * time.Millisecond)
+	if got := h.expectStarts(h.runCycle(), 1)[0].Task.Job; got != "j2" {
+		t.Errorf("a task of %s starts, want that of j2", got)
+	}
+}
--- a/shard/wait_reason.go
+++ b/shard/wait_reason.go
@@ -93,6 +93,9 @@
 	if now.Before(t.notBefore) {
 		out = append(out, "not before "+rounded(t.notBefore.Sub(now)))
 	}
+	if node := sc.staysWith(t, now); node != "" {
+		out = append(out, "stays with "+node+", which may carry out an earlier start late")
+	}
 	switch s := t.step; {
 	case len(t.runs) > 0:
 	case t.history().isSuspect():
