Remember in the random runs which standing jobs were given up

Cause: traced with -talk. The rule left it out by asking for its state, and 150 s later, when the retention was over, nobody knew the job any more: then it was taken for one that must run.

The check was wrong there.

--- a/prove/simul/simul_test.go
+++ b/prove/simul/simul_test.go
@@ -80,6 +80,8 @@
 	cancelRequested bool
 	// endedAt is when an entry first showed that the job has ended, if answers are checked.
 	endedAt time.Time
+	// givenUp reports whether an entry has shown that the job has failed.
+	givenUp bool
 	// crashing, if set, reports whether a task crashes the workers that start it.
 	crashing func(spar.TaskRef) bool
 	// runTime, if set, is how long each run lasts, which then succeeds.
