--- a/shard/advice.go
+++ b/shard/advice.go
@@ -56,7 +56,7 @@
 func (sc *Scheduler) AdviceRequests(now time.Time) []AdviceRequest {
 	var out []AdviceRequest
 	var pool []*candidate
-	for looks := 0; len(sc.stepsAwaitingAdvice) > 0 && looks < maxLooks && sc.adviceInFlight+len(out) < maxRequestsInFlight; looks += 1 + len(pool) {
+	for checks := 0; len(sc.stepsAwaitingAdvice) > 0 && checks < maxChecks && sc.adviceInFlight+len(out) < maxRequestsInFlight; checks += 1 + len(pool) {
 		s := sc.stepsAwaitingAdvice[0]
 		sc.stepsAwaitingAdvice = sc.stepsAwaitingAdvice[1:]
 		if s.advice.requestInFlight || now.Before(s.advice.retryAfter) {
--- a/shard/placement.go
+++ b/shard/placement.go
@@ -92,7 +92,7 @@
 func (sc *Scheduler) bestOf(pool []*candidate, t *task, minPace int, now time.Time) (placement, bool) {
 	var best placement
 	var bestScore float64
-	sc.looks.used += len(pool)
+	sc.checks.used += len(pool)
 	for _, w := range pool {
 		if !sc.canAccept(w, t, now) {
 			continue
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -175,7 +175,7 @@
 		if !t.isWaiting(now) || t.isSuspect() || onlyOverdue && !t.isOverdue(now) {
 			continue
 		}
-		if sc.startLimit.full() || sc.looks.isUsed() {
+		if sc.startLimit.full() || sc.checks.isUsed() {
 			return false
 		}
 		if node := sc.staysWith(t, now); node != "" {
@@ -215,7 +215,7 @@
 	t.lastRun = number
 	t.addRun(r)
 	p.addRun(r)
-	p.noteTrial(r, now)
+	p.recordTrial(r, now)
 	p.allocate(sc, t.step)
 	sc.claimedRuns = append(sc.claimedRuns, r)
 	sc.startLimit.add(r)
--- a/shard/scheduler.go
+++ b/shard/scheduler.go
@@ -68,9 +68,9 @@
 	lacking      int
 	// startLimit counts the starts of the pass of Plan.
 	startLimit startLimit
-	// looks counts those of the pass, passCut reports whether it has left steps to the
+	// checks counts those of the pass, passCut reports whether it has left steps to the
 	// next one, and resumeAt is the index in the queue of the first of them.
-	looks    lookBudget
+	checks   checkBudget
 	passCut  bool
 	resumeAt int
 	// claimedRuns are runs whose start orders are sent once the claims are
--- a/shard/trial.go
+++ b/shard/trial.go
@@ -61,7 +61,7 @@
 	if w.trials == nil {
 		w.trials = []*task{}
 		for r := range w.runs {
-			w.noteTrial(r, now)
+			w.recordTrial(r, now)
 		}
 	}
 	for _, o := range w.trials {
@@ -72,8 +72,8 @@
 	return false
 }
 
-// noteTrial adds a run to the trials of the candidate, if those are known.
-func (w *candidate) noteTrial(r *run, now time.Time) {
+// recordTrial adds a run to the trials of the candidate, if those are known.
+func (w *candidate) recordTrial(r *run, now time.Time) {
 	if h := r.task.historyTask(); w.trials != nil && r.isOnTrial(now) && !slices.Contains(w.trials, h) {
 		w.trials = append(w.trials, h)
 	}
