--- a/shard/life.go
+++ b/shard/life.go
@@ -86,7 +86,10 @@
 			continue
 		}
 		sc.onEvent(Event{Name: "run lost", Task: r.task.ref().String(), Run: r.number, Node: w.node, Reason: cmp.Or(r.crash, reason)})
-		sc.keepWithWorker(r, sc.now)
+		if w.token != 0 {
+			// Of an agent out of touch it is not known whether it has sent the call.
+			sc.keepWithWorker(r, sc.now)
+		}
 		sc.removeRun(r)
 	}
 	w.lifeEnded = true
